--- a/apricotwalk/core/__init__.py
+++ b/apricotwalk/core/__init__.py
@@ -11,6 +11,7 @@
     SettingsError,
     WireError,
 )
+from apricotwalk.core._execution import Execution
 from apricotwalk.core._identifiers import new_identifier
 from apricotwalk.core._mechanisms import ALL_ON, Mechanism, MechanismSwitches
 from apricotwalk.core._pause import PauseDetector
@@ -23,6 +24,7 @@
     "ApricotwalkError",
     "CallFailure",
     "Clock",
+    "Execution",
     "LogServiceError",
     "ManualClock",
     "Mechanism",
--- /dev/null
+++ b/apricotwalk/daemon/mesh.py
@@ -0,0 +1,56 @@
+"""Entry point of a node on the users' platform: ``python3 -m apricotwalk.daemon.mesh``."""
+
+import argparse
+import asyncio
+import signal
+import sys
+
+from loguru import logger
+
+from apricotwalk.core import SettingsError
+from apricotwalk.meshnode import MeshNode
+from apricotwalk.platform import UsersPlatform, open_platform
+
+__all__ = ["main"]
+
+EXIT_CANNOT_START = 1
+EXIT_SETTINGS = 2
+
+
+def main() -> None:
+    """Run a node until it is told to stop by SIGTERM or SIGINT; SIGHUP reloads the settings."""
+    parser = argparse.ArgumentParser(prog="apricotwalk-mesh", description=__doc__)
+    parser.add_argument("--check", action="store_true", help="validate the settings and exit")
+    arguments = parser.parse_args()
+    try:
+        platform = open_platform()
+    except SettingsError as error:
+        print(f"apricotwalk-mesh: {error}", file=sys.stderr)
+        sys.exit(EXIT_SETTINGS)
+    if arguments.check:
+        print(f"{platform.settings.instance}: ok")
+        return
+    logger.remove()
+    logger.add(sys.stdout, level="INFO", serialize=True, backtrace=False, diagnose=False)
+    try:
+        asyncio.run(_run(platform))
+    except OSError as error:
+        print(f"apricotwalk-mesh: cannot run: {error}", file=sys.stderr)
+        sys.exit(EXIT_CANNOT_START)
+
+
+async def _run(platform: UsersPlatform) -> None:
+    stop = asyncio.Event()
+    loop = asyncio.get_running_loop()
+    node = MeshNode(platform)
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, stop.set)
+    loop.add_signal_handler(signal.SIGHUP, node.reload)
+    await node.start()
+    await stop.wait()
+    await node.drain()
+    await node.close()
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/apricotwalk/fleet/__init__.py
@@ -0,0 +1,7 @@
+"""Which nodes of a mesh there are, and which version of the configuration is in force."""
+
+from apricotwalk.fleet._configuration import ConfigurationHolder
+from apricotwalk.fleet._follower import StreamFollower
+from apricotwalk.fleet._members import FleetMembers
+
+__all__ = ["ConfigurationHolder", "FleetMembers", "StreamFollower"]
--- /dev/null
+++ b/apricotwalk/fleet/_configuration.py
@@ -0,0 +1,81 @@
+"""The version of the configuration that is in force on this node."""
+
+from collections.abc import Callable
+
+from apricotwalk.border import KeyedRecord, RouteConfiguration
+from apricotwalk.core import Clock, RecordError
+from apricotwalk.fleet._follower import RecordTaker
+from apricotwalk.routes import RouteTable
+from apricotwalk.telemetry import DecisionLog
+
+__all__ = ["ConfigurationHolder"]
+
+ConfigurationReader = Callable[[str, bytes], RouteConfiguration | None]
+
+
+class ConfigurationHolder(RecordTaker):
+    """Holds the newest version that was heard of, from the store or from a peer.
+
+    Parameters
+    ----------
+    read : callable
+        Reads the value of a record; returns None if its key stands for something else.
+    log : DecisionLog
+        Receives each version that comes into force.
+    clock : Clock
+        Source of time.
+
+    Notes
+    -----
+    A version only ever gives way to a newer one, whatever order they arrive in.
+    """
+
+    def __init__(self, read: ConfigurationReader, log: DecisionLog, clock: Clock) -> None:
+        self._read = read
+        self._log = log
+        self._clock = clock
+        self.table: RouteTable | None = None
+        self.key = ""
+        self.in_force_since = 0.0
+        self.changed: Callable[[RouteConfiguration], None] = lambda configuration: None
+
+    @property
+    def version(self) -> int:
+        """The version in force, 0 for none."""
+        return self.table.configuration.version if self.table is not None else 0
+
+    @property
+    def current(self) -> RouteConfiguration | None:
+        """The configuration in force."""
+        return self.table.configuration if self.table is not None else None
+
+    def age(self) -> float:
+        """Return for how many seconds the version has been in force."""
+        return self._clock.monotonic() - self.in_force_since
+
+    def take_record(self, record: KeyedRecord) -> None:
+        """Take a record of the store."""
+        if record.value is not None:
+            self.take(record.key, record.value, "store")
+
+    def take(self, key: str, value: bytes, source: str) -> None:
+        """Put a configuration in force if it is newer than the present one."""
+        try:
+            configuration = self._read(key, value)
+        except RecordError as error:
+            self._log.believe("configuration-rejected", source=source, detail=str(error))
+            return
+        if configuration is None or configuration.version <= self.version:
+            return
+        former = self.version
+        self.table = RouteTable(configuration)
+        self.key = key
+        self.in_force_since = self._clock.monotonic()
+        self._log.believe(
+            "configuration-in-force",
+            version=configuration.version,
+            former=former,
+            source=source,
+            routes=len(configuration.routes),
+        )
+        self.changed(configuration)
--- /dev/null
+++ b/apricotwalk/fleet/_follower.py
@@ -0,0 +1,115 @@
+"""Following of a keyed stream through outages of the store."""
+
+import asyncio
+import random
+from abc import ABC, abstractmethod
+
+from apricotwalk.border import HistoryLostError, KeyedRecord, KeyedStream, StoreError
+from apricotwalk.core import Service, Supervisor
+from apricotwalk.telemetry import DecisionLog
+
+__all__ = ["RecordTaker", "StreamFollower"]
+
+# A read that waits returns as soon as there is a record.  A connection gone silent is noticed
+# after this time; until then peers tell of newer versions.
+READ_WAIT_SECONDS = 5.0
+FIRST_RETRY_SECONDS = 0.1
+# A store that is back after an outage is asked again within the two seconds that operators allow.
+LONGEST_RETRY_SECONDS = 1.0
+
+
+class RecordTaker(ABC):
+    """Takes the records of a stream."""
+
+    @abstractmethod
+    def take_record(self, record: KeyedRecord) -> None:
+        """Take a record; must not raise for a malformed one."""
+
+    def take_snapshot(self, records: tuple[KeyedRecord, ...]) -> None:
+        """Take the newest record of each key."""
+        for record in records:
+            self.take_record(record)
+
+
+class StreamFollower(Service):
+    """Reads a stream from its newest records on and keeps reading.
+
+    Parameters
+    ----------
+    name : str
+        Name of the stream in log lines.
+    stream : KeyedStream
+        The stream.
+    taker : RecordTaker
+        Takes the records.
+    log : DecisionLog
+        Receives the loss and the return of the store.
+    generator : random.Random
+        Spreads the attempts of many nodes.
+    """
+
+    def __init__(
+        self,
+        name: str,
+        stream: KeyedStream,
+        taker: RecordTaker,
+        log: DecisionLog,
+        generator: random.Random,
+    ) -> None:
+        self._name = name
+        self._stream = stream
+        self._taker = taker
+        self._log = log
+        self._random = generator
+        self._offset: int | None = None
+        self._is_lost = False
+        self._pause = FIRST_RETRY_SECONDS
+        self._supervisor = Supervisor(f"follower of {name}")
+
+    @property
+    def is_connected(self) -> bool:
+        """Whether the last call to the store succeeded."""
+        return self._offset is not None and not self._is_lost
+
+    async def start(self) -> None:
+        """Begin to read."""
+        self._supervisor.run_loop("read", self._follow)
+
+    async def close(self) -> None:
+        """Stop reading."""
+        await self._supervisor.close()
+
+    async def _follow(self) -> None:
+        while True:
+            try:
+                await self._read_once()
+            except HistoryLostError as error:
+                self._log.believe("history-lost", stream=self._name, detail=str(error))
+                self._offset = None
+            except StoreError as error:
+                await self._take_note_of_loss(error)
+            else:
+                self._take_note_of_answer()
+
+    async def _read_once(self) -> None:
+        if self._offset is None:
+            page = await self._stream.newest()
+            self._taker.take_snapshot(page.records)
+        else:
+            page = await self._stream.read(self._offset, READ_WAIT_SECONDS)
+            for record in page.records:
+                self._taker.take_record(record)
+        self._offset = page.next_offset
+
+    async def _take_note_of_loss(self, error: StoreError) -> None:
+        if not self._is_lost:
+            self._is_lost = True
+            self._log.believe("store-lost", stream=self._name, detail=str(error))
+        await asyncio.sleep(self._pause * self._random.uniform(0.7, 1.3))
+        self._pause = min(LONGEST_RETRY_SECONDS, self._pause * 2)
+
+    def _take_note_of_answer(self) -> None:
+        self._pause = FIRST_RETRY_SECONDS
+        if self._is_lost:
+            self._is_lost = False
+            self._log.believe("store-regained", stream=self._name)
--- /dev/null
+++ b/apricotwalk/forwarding/_entry.py
@@ -0,0 +1,144 @@
+"""Takes requests of callers and answers each of them."""
+
+import asyncio
+import time
+
+from apricotwalk.border import FieldNames, Route
+from apricotwalk.core import CallFailure, Verdict
+from apricotwalk.fleet import ConfigurationHolder
+from apricotwalk.forwarding._forwarder import Forwarder, OutgoingRequest
+from apricotwalk.forwarding._server_side import _loop_time
+from apricotwalk.forwarding._statuses import response_of_failure
+from apricotwalk.http1 import HttpRequest, HttpResponse
+from apricotwalk.routes import RouteTable, ServiceSplitter
+from apricotwalk.telemetry import DecisionLog, MeshMetrics
+
+__all__ = ["Entry"]
+
+# The way between caller and node takes 8 ms in each direction on the users' platform.
+CALLER_TRAVEL_SECONDS = 0.016
+# The node beside the server says at the deadline whether the request ran; its word crosses two
+# zones at most.
+LAST_WORD_SECONDS = 0.02
+# Longest time limit that is believed, ten minutes.
+LONGEST_DEADLINE_MS = 600_000.0
+
+
+class Entry:
+    """Finds the route of a request, has it forwarded and answers it in time.
+
+    Parameters
+    ----------
+    configuration : ConfigurationHolder
+        The configuration in force.
+    splitter : ServiceSplitter
+        Chooses the service.
+    forwarder : Forwarder
+        Gets requests answered.
+    fields : FieldNames
+        Names of header fields.
+    log : DecisionLog
+        Receives a line a request.
+    metrics : MeshMetrics
+        Receives counts and times.
+    """
+
+    def __init__(
+        self,
+        configuration: ConfigurationHolder,
+        splitter: ServiceSplitter,
+        forwarder: Forwarder,
+        fields: FieldNames,
+        log: DecisionLog,
+        metrics: MeshMetrics,
+    ) -> None:
+        self._configuration = configuration
+        self._splitter = splitter
+        self._forwarder = forwarder
+        self._request_id = fields.request_id.lower().encode()
+        self._deadline = fields.deadline_ms.lower().encode()
+        self._log = log
+        self._metrics = metrics
+
+    async def answer(self, request: HttpRequest) -> HttpResponse:
+        """Return the answer to a caller's request."""
+        request_id = request.values_by_name.get(self._request_id, "")
+        route_name = ""
+        try:
+            route = self._find_route(request)
+            route_name = route.name
+            outgoing = self._to_outgoing(request, request_id, route)
+            response, cause, tries = await self._forward(outgoing), "", outgoing.sent_count
+        except CallFailure as failure:
+            response, cause, tries = response_of_failure(failure), failure.cause, -1
+        seconds = time.monotonic() - request.arrived
+        self._metrics.count_answer(route_name, response.status, seconds)
+        self._log.decide(
+            "request-answered",
+            request_id,
+            route=route_name,
+            status=response.status,
+            cause=cause,
+            tries=tries,
+            ms=round(seconds * 1000, 1),
+            configuration=self._configuration.version,
+        )
+        return response
+
+    def _find_route(self, request: HttpRequest) -> Route:
+        table: RouteTable | None = self._configuration.table
+        if table is None:
+            raise CallFailure(
+                Verdict.NOT_RUN, "no-configuration", "this node knows no configuration yet"
+            )
+        path = request.target.partition("?")[0]
+        route = table.find(request.values_by_name.get(b"host", ""), path)
+        if route is None:
+            raise CallFailure(
+                Verdict.NOT_RUN,
+                "no-route",
+                f"version {table.configuration.version} has no route for {path}",
+                404,
+            )
+        return route
+
+    def _to_outgoing(self, request: HttpRequest, request_id: str, route: Route) -> OutgoingRequest:
+        limit = request.arrived + route.timeout_seconds
+        patience = self._parse_patience(request)
+        if patience is not None:
+            limit = min(limit, request.arrived + max(0.0, patience - CALLER_TRAVEL_SECONDS))
+        return OutgoingRequest(
+            request_id=request_id,
+            route=route,
+            service=self._splitter.choose(route),
+            deadline=limit,
+            method=request.method,
+            target=request.target,
+            fields=request.fields,
+            body=request.body,
+        )
+
+    def _parse_patience(self, request: HttpRequest) -> float | None:
+        """Return how long the caller waits in seconds, or None if it does not say."""
+        text = request.values_by_name.get(self._deadline)
+        if text is None:
+            return None
+        try:
+            milliseconds = float(text)
+        except ValueError:
+            milliseconds = -1.0
+        if not 0.0 <= milliseconds <= LONGEST_DEADLINE_MS:
+            raise CallFailure(
+                Verdict.NOT_RUN, "malformed-deadline", f"deadline {text!r} is no time", 400
+            )
+        return milliseconds / 1000
+
+    async def _forward(self, outgoing: OutgoingRequest) -> HttpResponse:
+        try:
+            async with asyncio.timeout_at(_loop_time(outgoing.deadline + LAST_WORD_SECONDS)):
+                reply = await self._forwarder.forward(outgoing)
+        except TimeoutError as error:
+            raise CallFailure(
+                Verdict.MAY_HAVE_RUN, "timeout", "no answer came in time", 504
+            ) from error
+        return HttpResponse(reply.status, reply.fields, reply.body)
--- /dev/null
+++ b/apricotwalk/forwarding/_server_side.py
@@ -0,0 +1,221 @@
+"""Runs forwarded requests on the backend server beside this node."""
+
+import asyncio
+import time
+
+from apricotwalk.admission import AdmissionController, Outcome, Permit, WorkItem
+from apricotwalk.border import FieldNames
+from apricotwalk.core import CallFailure, Verdict
+from apricotwalk.forwarding._backend_pool import BackendPool
+from apricotwalk.forwarding._backend_registry import BackendRegistry, KnownServer
+from apricotwalk.forwarding._repeat_allowance import RepeatAllowance
+from apricotwalk.http1 import ServerAnswer, encode_field
+from apricotwalk.peering import ForwardMessage, ReplyMessage
+from apricotwalk.telemetry import DecisionLog, MeshMetrics
+
+__all__ = ["ServerSide"]
+
+# Work that waited already when the server said that it leaves may start for so long; the
+# server serves for longer, and the operators' bound is 2 s.
+QUEUE_AFTER_LEAVE_SECONDS = 0.5
+SUCCESS = 200
+REDIRECTION = 300
+SERVER_ERROR = 500
+MISDIRECTED = 421
+
+
+class ServerSide:
+    """Admits forwarded requests, has the backend server run them and tells the outcome.
+
+    Parameters
+    ----------
+    registry : BackendRegistry
+        Knows the server.
+    pool : BackendPool
+        Connections to it.
+    admission : AdmissionController
+        Decides what runs and when.
+    allowance : RepeatAllowance
+        Bounds repeats.
+    fields : FieldNames
+        Names of header fields.
+    log : DecisionLog
+        Receives a line for each request that does not run.
+    metrics : MeshMetrics
+        Receives counts and times.
+    """
+
+    def __init__(
+        self,
+        registry: BackendRegistry,
+        pool: BackendPool,
+        admission: AdmissionController,
+        allowance: RepeatAllowance,
+        fields: FieldNames,
+        log: DecisionLog,
+        metrics: "MeshMetrics",
+    ) -> None:
+        self._registry = registry
+        self._pool = pool
+        self._admission = admission
+        self._allowance = allowance
+        self._fields = fields
+        self._signature = fields.signature.lower().encode()
+        self._not_run = fields.not_run.lower().encode()
+        self._load = fields.load.lower().encode()
+        self._log = log
+        self._metrics = metrics
+        self.reported_load = 0.0
+        self.is_stopping = False
+
+    async def run(self, message: ForwardMessage) -> ReplyMessage:
+        """Return the outcome of a forwarded request; never raises but when cancelled."""
+        try:
+            answer = await self._run(message)
+        except CallFailure as failure:
+            self._log.decide(
+                "request-not-completed",
+                message.request_id,
+                route=message.route,
+                cause=failure.cause,
+                verdict=failure.verdict.value,
+                detail=str(failure),
+                load=round(self._admission.load(), 2),
+                remaining_ms=round(message.remaining_ms),
+            )
+            self._metrics.count_server_side(failure.cause)
+            return ReplyMessage(
+                message.call,
+                failure.verdict,
+                failure.status,
+                failure.cause,
+                load=self._admission.load(),
+                reported_load=self.reported_load,
+                retry_after=failure.retry_after or 0.0,
+            )
+        self._metrics.count_server_side("completed")
+        return ReplyMessage(
+            message.call,
+            Verdict.COMPLETED,
+            answer.status,
+            "",
+            answer.fields,
+            answer.body,
+            self._admission.load(),
+            self.reported_load,
+        )
+
+    async def _run(self, message: ForwardMessage) -> ServerAnswer:
+        deadline = time.monotonic() + message.remaining_ms / 1000
+        if message.service != self._registry.settings.service:
+            raise CallFailure(Verdict.NOT_RUN, "no-server", "another service runs here")
+        self._require_server(0.0)
+        self._require_allowance(message)
+        permit = await self._admission.acquire(_to_work_item(message, deadline))
+        try:
+            known = self._require_server(QUEUE_AFTER_LEAVE_SECONDS)
+        except CallFailure:
+            permit.release(Outcome.CANCELLED)
+            raise
+        return await self._send(message, known, deadline, permit)
+
+    def _require_server(self, longest_leave_seconds: float) -> KnownServer:
+        registry = self._registry
+        if registry.current is None:
+            raise CallFailure(Verdict.NOT_RUN, "no-server", "no backend server is known here")
+        if registry.is_leaving:
+            if time.monotonic() - registry.left_at >= longest_leave_seconds:
+                raise CallFailure(Verdict.NOT_RUN, "leaving", "the backend server is leaving")
+        return registry.current
+
+    def _require_allowance(self, message: ForwardMessage) -> None:
+        if not message.is_repeat:
+            self._allowance.take_note_of_first()
+        elif not self._allowance.try_take():
+            raise CallFailure(Verdict.NOT_RUN, "retry-budget", "no repeat is left in the budget")
+
+    async def _send(
+        self, message: ForwardMessage, known: KnownServer, deadline: float, permit: Permit
+    ) -> ServerAnswer:
+        outcome = Outcome.FAILED
+        began = time.monotonic()
+        try:
+            async with asyncio.timeout_at(_loop_time(deadline)):
+                answer = await self._pool.send(
+                    message.method,
+                    message.target,
+                    self._fields_of(message, known, deadline),
+                    message.body,
+                    message.request_id,
+                    message.at_most_once,
+                )
+            self._judge(answer)
+            outcome = Outcome.SUCCEEDED if answer.status < SERVER_ERROR else Outcome.FAILED
+            self._metrics.time_server_side(time.monotonic() - began)
+            return answer
+        except TimeoutError as error:
+            outcome = Outcome.TIMED_OUT
+            raise CallFailure(
+                Verdict.MAY_HAVE_RUN, "deadline-passed", "deadline passed while it ran", 504
+            ) from error
+        except asyncio.CancelledError:
+            outcome = Outcome.CANCELLED
+            raise
+        except CallFailure as failure:
+            if failure.cause == "backend-unreachable":
+                self._registry.lose(str(failure))
+            raise
+        finally:
+            permit.release(outcome)
+
+    def _fields_of(self, message: ForwardMessage, known: KnownServer, deadline: float) -> bytes:
+        remaining_ms = max(1, int((deadline - time.monotonic()) * 1000))
+        return b"".join(
+            (
+                message.fields,
+                encode_field(self._fields.request_id, message.request_id),
+                encode_field(self._fields.deadline_ms, str(remaining_ms)),
+                encode_field(self._fields.expected_server, known.server),
+                encode_field(self._fields.caller_service, message.caller_service),
+            )
+        )
+
+    def _judge(self, answer: ServerAnswer) -> None:
+        """Refuse what is no proper answer, and tell what did not run."""
+        values = answer.values_by_name
+        load = values.get(self._load)
+        if load is not None:
+            self._take_load(load)
+        if self._not_run in values or answer.status == MISDIRECTED:
+            if answer.status == MISDIRECTED:
+                self._registry.lose("another incarnation answered")
+            raise CallFailure(
+                Verdict.NOT_RUN, "backend-refused", f"the backend server said {answer.status}"
+            )
+        is_success = SUCCESS <= answer.status < REDIRECTION
+        if b"content-encoding" in values or (is_success and self._signature not in values):
+            raise CallFailure(
+                Verdict.MAY_HAVE_RUN, "answer-damaged", "the answer is not the server's own", 502
+            )
+
+    def _take_load(self, text: str) -> None:
+        """Take note of running, waiting and slots; a malformed value is no news."""
+        parts = text.split(",")
+        if len(parts) == 3 and all(part.strip().isdigit() for part in parts):
+            running, waiting, slots = (int(part) for part in parts)
+            self.reported_load = (running + waiting) / max(1, slots)
+
+
+def _loop_time(deadline: float) -> float:
+    """Return a monotonic time on the clock of the event loop."""
+    return asyncio.get_running_loop().time() + (deadline - time.monotonic())
+
+
+def _to_work_item(message: ForwardMessage, deadline: float) -> WorkItem:
+    return WorkItem(
+        customer="",
+        route=message.route,
+        rank=message.rank,
+        deadline=deadline,
+        request_id=message.request_id,
+    )
--- /dev/null
+++ b/apricotwalk/forwarding/_statuses.py
@@ -0,0 +1,36 @@
+"""HTTP statuses of requests that got no answer of a backend server."""
+
+from apricotwalk.core import CallFailure, Verdict
+from apricotwalk.http1 import HttpResponse, encode_field
+
+__all__ = ["response_of_failure"]
+
+SERVICE_UNAVAILABLE = 503
+BAD_GATEWAY = 502
+GATEWAY_TIMEOUT = 504
+FIRST_CLIENT_ERROR = 400
+FIRST_SERVER_ERROR = 500
+# Room is usually back within a fraction of a second; a caller that returns sooner finds none.
+DEFAULT_RETRY_AFTER_SECONDS = 0.3
+
+
+def response_of_failure(failure: CallFailure) -> HttpResponse:
+    """Return the answer that tells a caller what is known of a failed request.
+
+    Notes
+    -----
+    503 is only said of a request that has not run and never will; everything that may have run
+    is 502, or 504 where time ran out.
+    """
+    cause = encode_field("Content-Type", "text/plain")
+    body = f"{failure.cause}: {failure}\n".encode()
+    is_refused = FIRST_CLIENT_ERROR <= failure.status < FIRST_SERVER_ERROR
+    if failure.verdict is Verdict.NOT_RUN and is_refused:
+        return HttpResponse(failure.status, cause, body)
+    if failure.verdict is Verdict.NOT_RUN:
+        seconds = failure.retry_after or DEFAULT_RETRY_AFTER_SECONDS
+        return HttpResponse(
+            SERVICE_UNAVAILABLE, cause + encode_field("Retry-After", f"{seconds:.2f}"), body
+        )
+    status = GATEWAY_TIMEOUT if failure.status == GATEWAY_TIMEOUT else BAD_GATEWAY
+    return HttpResponse(status, cause, body)
--- /dev/null
+++ b/apricotwalk/meshnode/_node.py
@@ -0,0 +1,284 @@
+"""The supervisor tree of a node in a mesh."""
+
+import asyncio
+import random
+import time
+from contextlib import suppress
+
+from apricotwalk.admission import RankQueueController
+from apricotwalk.border import MeshSettings, Platform, RouteConfiguration
+from apricotwalk.core import CallFailure, Service, SettingsError, Supervisor, SystemClock
+from apricotwalk.fleet import ConfigurationHolder, FleetMembers, StreamFollower
+from apricotwalk.forwarding import (
+    BackendPool,
+    BackendRegistry,
+    Entry,
+    Forwarder,
+    RepeatAllowance,
+    ServerSide,
+)
+from apricotwalk.http1 import HttpLimits, HttpListener
+from apricotwalk.membership import Member, MemberState
+from apricotwalk.meshnode._peers import MeshPeerHandler
+from apricotwalk.meshnode._ports import HeartbeatPort, MetricsPort, ReadinessPort
+from apricotwalk.meshnode._probe import probe_backend
+from apricotwalk.peering import MembersMessage, MembersRequest, PeerLinks, PeerListener
+from apricotwalk.routes import ServiceSplitter
+from apricotwalk.routing import TargetSelector
+from apricotwalk.telemetry import DecisionLog, MeshMetrics
+
+__all__ = ["MeshNode"]
+
+MICROSECONDS_PER_SECOND = 1_000_000
+# Two questions for readiness, one second apart, have to find the node not ready before callers
+# stay away.
+LEAVE_NOTICE_SECONDS = 2.3
+# What is left of the stop time for closing connections.
+STOP_MARGIN_SECONDS = 0.5
+STOP_CHECK_SECONDS = 0.02
+SETTINGS_CHECK_SECONDS = 2.0
+SEED_RETRY_SECONDS = 1.0
+
+
+class MeshNode(Service):
+    """One node beside one backend server.
+
+    Parameters
+    ----------
+    platform : Platform
+        The adapter.
+
+    Notes
+    -----
+    The tree: decision log, directory and configuration, links and listeners, started in this
+    order and closed in reverse.
+    """
+
+    def __init__(self, platform: Platform) -> None:
+        self._platform = platform
+        self.settings: MeshSettings = platform.settings
+        self._clock = SystemClock()
+        self._random = random.Random()
+        settings = self.settings
+        self.log = DecisionLog(settings.instance, settings.availability_zone, self._clock)
+        self.metrics = MeshMetrics()
+        self.configuration = ConfigurationHolder(
+            platform.read_configuration, self.log, self._clock
+        )
+        self.members = self._build_members()
+        self._peers = MeshPeerHandler(self.members, self.configuration)
+        self.links = PeerLinks(self.members.own, self._peers, self._random)
+        self.registry = BackendRegistry(settings, self.log, self._clock)
+        self.admission = RankQueueController(self._clock)
+        self.allowance = RepeatAllowance(
+            settings.bounds.retry_ratio,
+            settings.bounds.retry_allowance,
+            settings.bounds.retry_window_seconds,
+            self._clock,
+        )
+        self.pool = BackendPool(
+            settings.backend,
+            platform.fields.request_id,
+            (
+                platform.fields.signature,
+                platform.fields.not_run,
+                platform.fields.load,
+                platform.fields.server_incarnation,
+                "Content-Encoding",
+            ),
+        )
+        self.server_side = ServerSide(
+            self.registry,
+            self.pool,
+            self.admission,
+            self.allowance,
+            platform.fields,
+            self.log,
+            self.metrics,
+        )
+        self._peers.server_side = self.server_side
+        self._splitter = ServiceSplitter(self._random)
+        self._peer_listener = PeerListener(settings.peers, self._peers)
+        self._callers = self._build_caller_listener()
+        self.is_stopping = False
+        self._supervisor = Supervisor("mesh node")
+        self._add_services()
+
+    @property
+    def is_ready(self) -> bool:
+        """Whether callers should send work to this node."""
+        return not self.is_stopping and self.configuration.table is not None
+
+    async def start(self) -> None:
+        """Start every service."""
+        self.registry.changed = self._take_server_change
+        self.members.own_changed = self._tell_own
+        self.configuration.changed = self._take_configuration
+        await self._supervisor.start()
+        self._supervisor.run_loop("probe", self._probe_backend)
+        self._supervisor.run_loop("settings", self._watch_settings)
+        if self.settings.seeds:
+            self._supervisor.run_loop("seeds", self._ask_seeds)
+        self.log.believe(
+            "node-started",
+            service=self.settings.service,
+            region=self.settings.region,
+            incarnation=self.members.own.incarnation,
+        )
+
+    async def drain(self) -> None:
+        """Stop taking work, and answer everything that was read."""
+        self.log.believe("node-stopping")
+        began = time.monotonic()
+        self.is_stopping = True
+        self.members.announce(MemberState.LEAVING, "this node stops")
+        self._peer_listener.say_goodbye()
+        self._callers.retire()
+        give_up = began + self.settings.bounds.stop_seconds - STOP_MARGIN_SECONDS
+        while time.monotonic() < give_up:
+            is_noticed = time.monotonic() - began >= LEAVE_NOTICE_SECONDS
+            if is_noticed and not self._is_busy():
+                return
+            await asyncio.sleep(STOP_CHECK_SECONDS)
+
+    async def close(self) -> None:
+        """Close every service."""
+        self._callers.stop_listening()
+        self.log.believe("node-stopped", is_busy=self._is_busy())
+        await self._supervisor.close()
+        self._platform.close()
+
+    def reload(self) -> None:
+        """Read the settings again and use what may change while the node runs."""
+        try:
+            settings = self._platform.load_settings()
+        except SettingsError as error:
+            self.log.believe("settings-rejected", detail=str(error))
+            return
+        if settings == self.settings:
+            self.log.believe("settings-reloaded", changed=False)
+            return
+        self.settings = settings
+        self.registry.settings = settings
+        self.pool.address = settings.backend
+        self.log.believe("settings-reloaded", changed=True, service=settings.service)
+
+    def _is_busy(self) -> bool:
+        return self._callers.is_busy or self._peer_listener.calls_in_flight > 0
+
+    def _build_members(self) -> FleetMembers:
+        settings = self.settings
+        own = Member(
+            instance=settings.instance,
+            service=settings.service,
+            availability_zone=settings.availability_zone,
+            region=settings.region,
+            address=settings.peers,
+            incarnation=int(time.time() * MICROSECONDS_PER_SECOND),
+            state=MemberState.DEAD,
+        )
+        return FleetMembers(
+            own, self._platform.open_members(), self.log, self._clock, self._random
+        )
+
+    def _build_caller_listener(self) -> HttpListener:
+        fields = self._platform.fields
+        selector = TargetSelector(self.settings.availability_zone, self._random, self._clock)
+        forwarder = Forwarder(
+            self.members, selector, self.links, self.server_side, self.log, self.settings.service
+        )
+        entry = Entry(
+            self.configuration, self._splitter, forwarder, fields, self.log, self.metrics
+        )
+        return HttpListener(
+            self.settings.callers,
+            entry.answer,
+            taken_fields=("Host", fields.request_id, fields.deadline_ms),
+            dropped_fields=(
+                fields.request_id,
+                fields.deadline_ms,
+                fields.caller_service,
+                fields.expected_server,
+            ),
+            needs_host=True,
+        )
+
+    def _add_services(self) -> None:
+        platform, settings = self._platform, self.settings
+        follow = (
+            ("configuration", platform.open_configuration(), self.configuration),
+            ("members", platform.open_members(), self.members),
+        )
+        self._supervisor.add(self.log)
+        for name, stream, taker in follow:
+            self._supervisor.add(StreamFollower(name, stream, taker, self.log, self._random))
+        self._supervisor.add(self.members)
+        self._supervisor.add(self.links)
+        self._supervisor.add(self.pool)
+        self._supervisor.add(self._peer_listener)
+        heartbeats = HeartbeatPort(platform.heartbeats, self.registry, self.log)
+        readiness = ReadinessPort(platform.readiness_path, lambda: self.is_ready)
+        metrics = MetricsPort(self.metrics, self._refresh_gauges)
+        self._supervisor.add(HttpListener(settings.heartbeats, heartbeats.answer))
+        self._supervisor.add(HttpListener(settings.metrics, metrics.answer))
+        self._supervisor.add(self._callers)
+        self._supervisor.add(HttpListener(settings.readiness, readiness.answer))
+
+    def _take_server_change(self) -> None:
+        registry = self.registry
+        if registry.current is not None:
+            self.admission.set_slots(registry.current.slots)
+        if self.is_stopping:
+            return
+        if registry.is_leaving:
+            self.members.announce(MemberState.LEAVING, "the backend server leaves")
+        elif registry.current is None:
+            self.members.announce(MemberState.DEAD, "no backend server is known")
+        else:
+            self.members.announce(MemberState.ALIVE, "the backend server is ready")
+
+    def _tell_own(self, own: Member) -> None:
+        self.links.own = own
+        message = MembersMessage([own])
+        self.links.tell_all(message)
+        self._peer_listener.tell_all(message)
+
+    def _take_configuration(self, configuration: RouteConfiguration) -> None:
+        limits = configuration.limits
+        self._callers.limits = HttpLimits(
+            limits.largest_head_bytes,
+            limits.largest_body_bytes,
+            limits.head_seconds,
+            limits.idle_seconds,
+        )
+        self._splitter.forget_others(configuration.routes)
+
+    def _refresh_gauges(self) -> None:
+        self.metrics.configuration_version.set(self.configuration.version)
+        self.metrics.members.set(len(self.members.known()))
+        self.metrics.load.set(self.admission.load())
+        self.allowance.set_member_count(len(self.members.members(self.settings.service)))
+
+    async def _probe_backend(self) -> None:
+        """Find a server that is ready already, as after a restart of this node alone."""
+        await probe_backend(
+            self.registry, self.pool, self.configuration, self._platform.fields, self.log
+        )
+
+    async def _watch_settings(self) -> None:
+        """Notice settings that have changed without a signal, and keep the allowance divided."""
+        while True:
+            await asyncio.sleep(SETTINGS_CHECK_SECONDS)
+            members = self.members.members(self.settings.service)
+            self.allowance.set_member_count(len(members))
+            with suppress(SettingsError):
+                if self._platform.load_settings() != self.settings:
+                    self.reload()
+
+    async def _ask_seeds(self) -> None:
+        """Ask the nodes named in the settings while no other node is known."""
+        while len(self.members.known()) <= 1:
+            seed = self._random.choice(self.settings.seeds)
+            with suppress(CallFailure):
+                await self.links.tell(seed, MembersRequest())
+            await asyncio.sleep(SEED_RETRY_SECONDS)
--- /dev/null
+++ b/apricotwalk/meshnode/_peers.py
@@ -0,0 +1,79 @@
+"""What a node does for its peers."""
+
+import time
+from collections.abc import Callable
+
+from apricotwalk.fleet import ConfigurationHolder, FleetMembers
+from apricotwalk.forwarding import ServerSide
+from apricotwalk.peering import (
+    ConfigurationMessage,
+    ConfigurationRequest,
+    ForwardMessage,
+    GreetingMessage,
+    MembersMessage,
+    MembersRequest,
+    PeerHandler,
+    PeerMessage,
+    ReplyMessage,
+)
+
+__all__ = ["MeshPeerHandler"]
+
+# Nodes differ while a change spreads; whole lists are exchanged no more often than this.
+EXCHANGE_SECONDS = 0.5
+
+
+class MeshPeerHandler(PeerHandler):
+    """Runs forwarded requests and exchanges members and the configuration.
+
+    Parameters
+    ----------
+    members : FleetMembers
+        Members that this node knows of.
+    configuration : ConfigurationHolder
+        Configuration that this node knows of.
+    """
+
+    def __init__(self, members: FleetMembers, configuration: ConfigurationHolder) -> None:
+        self._members = members
+        self._configuration = configuration
+        self._exchanged = 0.0
+        self.server_side: ServerSide | None = None
+
+    async def handle_forward(self, message: ForwardMessage) -> ReplyMessage:
+        """Return the outcome of a request; see `PeerHandler.handle_forward`."""
+        assert self.server_side is not None
+        return await self.server_side.run(message)
+
+    def beliefs(self) -> tuple[int, int]:
+        """Return what pings carry; see `PeerHandler.beliefs`."""
+        return self._configuration.version, self._members.digest()
+
+    def take_beliefs(
+        self, configuration_version: int, members_digest: int, send: Callable[[PeerMessage], bool]
+    ) -> None:
+        """Ask for what the peer knows better; see `PeerHandler.take_beliefs`."""
+        if configuration_version > self._configuration.version:
+            send(ConfigurationRequest())
+        if members_digest == self._members.digest():
+            return
+        now = time.monotonic()
+        if now - self._exchanged >= EXCHANGE_SECONDS:
+            self._exchanged = now
+            send(MembersRequest())
+
+    def handle_control(self, message: PeerMessage, send: Callable[[PeerMessage], bool]) -> None:
+        """Take a message that is no request; see `PeerHandler.handle_control`."""
+        if isinstance(message, MembersMessage):
+            for member in message.members:
+                self._members.take(member, "peer")
+        elif isinstance(message, MembersRequest):
+            send(MembersMessage(self._members.known()))
+        elif isinstance(message, GreetingMessage):
+            self._members.take(message.member, "greeting")
+        elif isinstance(message, ConfigurationMessage):
+            self._configuration.take(message.key, message.encoded, "peer")
+        elif isinstance(message, ConfigurationRequest):
+            current = self._configuration.current
+            if current is not None:
+                send(ConfigurationMessage(self._configuration.key, current.encoded))
--- /dev/null
+++ b/apricotwalk/platform/_names.py
@@ -0,0 +1,35 @@
+"""Names of calls, header fields and streams on the platform."""
+
+from apricotwalk.border import FieldNames
+
+__all__ = [
+    "CONFIGURATION_KEY",
+    "FIELD_NAMES",
+    "HEARTBEAT_PREFIX",
+    "MEMBERS_TOPIC",
+    "OPERATOR_TOPIC",
+    "READINESS_PATH",
+    "SETTINGS_DEFAULT_PATH",
+    "SETTINGS_VARIABLE",
+]
+
+SETTINGS_VARIABLE = "APRICOTWALK_NODE_FILE"
+SETTINGS_DEFAULT_PATH = "/etc/apricotwalk/settings.conf"
+READINESS_PATH = "/api/ready"
+HEARTBEAT_PREFIX = "/api/instances/"
+OPERATOR_TOPIC = "keyed.op"
+CONFIGURATION_KEY = "config"
+MEMBERS_TOPIC = "keyed.members"
+
+# "Attempt-Id" names one try of a caller, not the caller's request over its tries.
+# "Server-Seal" covers the body; only the platform can check it.
+FIELD_NAMES = FieldNames(
+    request_id="Attempt-Id",
+    deadline_ms="Deadline-Ms",
+    expected_server="Expect-Instance",
+    caller_service="Caller-Service",
+    signature="Server-Seal",
+    not_run="Not-Executed",
+    load="Server-Load",
+    server_incarnation="Instance-Id",
+)
--- /dev/null
+++ b/apricotwalk/platform/_platform.py
@@ -0,0 +1,78 @@
+"""The adapter as a whole."""
+
+from pathlib import Path
+
+from apricotwalk.border import (
+    HeartbeatReader,
+    KeyedStream,
+    MeshSettings,
+    Platform,
+    RouteConfiguration,
+)
+from apricotwalk.platform._configuration import decode_configuration
+from apricotwalk.platform._heartbeats import StatusReportReader
+from apricotwalk.platform._names import (
+    CONFIGURATION_KEY,
+    FIELD_NAMES,
+    MEMBERS_TOPIC,
+    OPERATOR_TOPIC,
+    READINESS_PATH,
+)
+from apricotwalk.platform._settings import read_settings_file, settings_path
+from apricotwalk.platform._store import StoreClient
+
+__all__ = ["UsersPlatform", "open_platform"]
+
+
+class UsersPlatform(Platform):
+    """The users' platform, seen from one instance.
+
+    Parameters
+    ----------
+    path : str or Path
+        The settings file.
+
+    Raises
+    ------
+    SettingsError
+        If the settings are unreadable, naming the line and field.
+    """
+
+    def __init__(self, path: str | Path) -> None:
+        self._path = path
+        self.settings = self.load_settings()
+        self.fields = FIELD_NAMES
+        self.heartbeats: HeartbeatReader = StatusReportReader()
+        self.readiness_path = READINESS_PATH
+        self._store = StoreClient(self.settings.store)
+
+    def load_settings(self) -> MeshSettings:
+        """Return the settings as they are now; see `Platform.load_settings`."""
+        return read_settings_file(self._path)
+
+    def open_configuration(self) -> KeyedStream:
+        """Return the operator's stream; see `Platform.open_configuration`."""
+        return self._store.open(OPERATOR_TOPIC)
+
+    def read_configuration(self, record_key: str, value: bytes) -> RouteConfiguration | None:
+        """Return a configuration; see `Platform.read_configuration`."""
+        return decode_configuration(value) if record_key == CONFIGURATION_KEY else None
+
+    def open_members(self) -> KeyedStream:
+        """Return the nodes' stream; see `Platform.open_members`."""
+        return self._store.open(MEMBERS_TOPIC)
+
+    def close(self) -> None:
+        """Release the connections to the store; see `Platform.close`."""
+        self._store.close()
+
+
+def open_platform() -> UsersPlatform:
+    """Return the platform that this process runs on.
+
+    Raises
+    ------
+    SettingsError
+        If the settings are unreadable, naming the line and field.
+    """
+    return UsersPlatform(settings_path())
--- a/apricotwalk/policy/_records.py
+++ b/apricotwalk/policy/_records.py
@@ -1,12 +1,11 @@
 """Validated models of the records that operators publish."""
 
-from enum import StrEnum
 from typing import Annotated, Any
 
 import msgspec
 from msgspec import Meta, Struct
 
-from apricotwalk.core import RecordError
+from apricotwalk.core import Execution, RecordError
 
 __all__ = [
     "CONFIGURATION_STREAM",
@@ -31,13 +30,6 @@
 Quantity = float | Reference
 
 
-class Execution(StrEnum):
-    """How often the work of a route may run."""
-
-    REPEATABLE = "repeatable"
-    AT_MOST_ONCE = "at-most-once"
-
-
 class Parameter(Struct, forbid_unknown_fields=True, frozen=True):
     """A number that the operator fills in for each customer.
 
--- a/apricotwalk/routing/_selector.py
+++ b/apricotwalk/routing/_selector.py
@@ -2,13 +2,13 @@
 
 import random
 from collections.abc import Collection
+from typing import Protocol
 
 from apricotwalk.core import Clock, Mechanism
 from apricotwalk.membership import Member
 from apricotwalk.routing._statistics import EJECTION_FAILURE_RATE, MemberStatistics
-from apricotwalk.wire import AnswerMessage
 
-__all__ = ["TargetSelector"]
+__all__ = ["AnswerReport", "TargetSelector"]
 
 LATENCY_SMOOTHING = 0.1
 ROOM_LOAD = 0.5
@@ -19,6 +19,26 @@
 SERVER_ERROR = 500
 
 
+class AnswerReport(Protocol):
+    """What an answer of a member says of the member."""
+
+    @property
+    def status(self) -> int:
+        """HTTP status, 0 if there is no answer of the backend server."""
+
+    @property
+    def cause(self) -> str:
+        """Why there is no complete answer, or an empty string."""
+
+    @property
+    def load(self) -> float:
+        """Work in flight and waiting over the limit of the answering node."""
+
+    @property
+    def reported_load(self) -> float:
+        """Load that the backend server reports of itself."""
+
+
 class TargetSelector:
     """Picks the cheaper of two random members, near ones first while they have room.
 
@@ -84,7 +104,7 @@
         """Take note that nobody waits for the answer any more."""
         self._statistics(instance).end(self._clock.monotonic())
 
-    def answered(self, instance: str, route: str, answer: AnswerMessage, seconds: float) -> None:
+    def answered(self, instance: str, route: str, answer: AnswerReport, seconds: float) -> None:
         """Take note of an answer of `instance` after `seconds`."""
         now = self._clock.monotonic()
         statistics = self._statistics(instance)
--- a/apricotwalk/telemetry/__init__.py
+++ b/apricotwalk/telemetry/__init__.py
@@ -1,7 +1,9 @@
 """Events, metrics and the time line over all processes."""
 
+from apricotwalk.telemetry._decision_log import DecisionLog
 from apricotwalk.telemetry._events import Event, EventLog
 from apricotwalk.telemetry._hybrid_clock import HybridClock
+from apricotwalk.telemetry._mesh_metrics import MeshMetrics
 from apricotwalk.telemetry._metrics import Metrics
 from apricotwalk.telemetry._timeline import (
     EventReport,
@@ -11,10 +13,12 @@
 )
 
 __all__ = [
+    "DecisionLog",
     "Event",
     "EventLog",
     "EventReport",
     "HybridClock",
+    "MeshMetrics",
     "Metrics",
     "format_timeline",
     "merge_events",
--- /dev/null
+++ b/apricotwalk/telemetry/_mesh_metrics.py
@@ -0,0 +1,78 @@
+"""Counters and latency histograms of a node in a mesh, served as text."""
+
+from prometheus_client import CollectorRegistry, Counter, Gauge, Histogram, generate_latest
+
+__all__ = ["MeshMetrics"]
+
+# Objectives lie between 150 ms and 4 s on the users' meshes.
+LATENCY_BUCKETS_SECONDS = (0.01, 0.025, 0.05, 0.1, 0.15, 0.25, 0.5, 1.0, 2.0, 4.0)
+# Routes whose answers are counted under their own name; the others share one.
+LARGEST_ROUTE_COUNT = 64
+OVERFLOW_ROUTE = "other"
+
+
+class MeshMetrics:
+    """What a node counts."""
+
+    def __init__(self) -> None:
+        self._registry = CollectorRegistry()
+        self._answers = Counter(
+            "apricotwalk_answers",
+            "Answers to callers.",
+            ["route", "status"],
+            registry=self._registry,
+        )
+        self._answer_seconds = Histogram(
+            "apricotwalk_answer_seconds",
+            "Time from the arrival of a request to its answer.",
+            ["route"],
+            buckets=LATENCY_BUCKETS_SECONDS,
+            registry=self._registry,
+        )
+        self._outcomes = Counter(
+            "apricotwalk_server_side_outcomes",
+            "Outcomes of forwarded requests by cause.",
+            ["cause"],
+            registry=self._registry,
+        )
+        self._server_seconds = Histogram(
+            "apricotwalk_server_seconds",
+            "Time that the backend server took for an answer.",
+            buckets=LATENCY_BUCKETS_SECONDS,
+            registry=self._registry,
+        )
+        self.configuration_version = Gauge(
+            "apricotwalk_configuration_version",
+            "Version of the configuration in force.",
+            registry=self._registry,
+        )
+        self.members = Gauge(
+            "apricotwalk_members", "Membership records held.", registry=self._registry
+        )
+        self.load = Gauge(
+            "apricotwalk_load",
+            "Work in flight and waiting over the limit of the backend server.",
+            registry=self._registry,
+        )
+        self._routes: set[str] = set()
+
+    def count_answer(self, route: str, status: int, seconds: float) -> None:
+        """Count an answer to a caller."""
+        if route not in self._routes:
+            if len(self._routes) >= LARGEST_ROUTE_COUNT:
+                route = OVERFLOW_ROUTE
+            self._routes.add(route)
+        self._answers.labels(route, status).inc()
+        self._answer_seconds.labels(route).observe(seconds)
+
+    def count_server_side(self, cause: str) -> None:
+        """Count the outcome of a forwarded request."""
+        self._outcomes.labels(cause).inc()
+
+    def time_server_side(self, seconds: float) -> None:
+        """Record how long the backend server took."""
+        self._server_seconds.observe(seconds)
+
+    def text(self) -> bytes:
+        """Return everything in the text format of Prometheus."""
+        return generate_latest(self._registry)
