Limit a mesh server's work by its announced slots

Cause: pupil-svc's limit sank to 4 of 21 slots: ConcurrencyLimit compares with the least latency ever seen, and work there varies by ten times, so every median looks slowed.

--- a/apricotwalk/admission/__init__.py
+++ b/apricotwalk/admission/__init__.py
@@ -1,7 +1,7 @@
 """Decides which work a backend server takes on, in which order, and what is shed."""
 
 from apricotwalk.admission._arrival_order import ArrivalOrderController
-from apricotwalk.admission._concurrency_limit import ConcurrencyLimit
+from apricotwalk.admission._concurrency_limit import AnnouncedLimit, ConcurrencyLimit, Limit
 from apricotwalk.admission._demand import CapacityClaims, DemandByLevel
 from apricotwalk.admission._factory import create_admission
 from apricotwalk.admission._interface import (
@@ -26,11 +26,13 @@
     "LEVELS_PER_RANK",
     "MOST_URGENT_RANK",
     "AdmissionController",
+    "AnnouncedLimit",
     "ArrivalOrderController",
     "CapacityClaims",
     "ConcurrencyLimit",
     "DemandByLevel",
     "FairShares",
+    "Limit",
     "Outcome",
     "Permit",
     "RankQueueController",
--- a/apricotwalk/admission/_concurrency_limit.py
+++ b/apricotwalk/admission/_concurrency_limit.py
@@ -1,8 +1,9 @@
 """How much the backend server may run at once, found from its latency."""
 
 import statistics
+from abc import ABC, abstractmethod
 
-__all__ = ["ConcurrencyLimit"]
+__all__ = ["AnnouncedLimit", "ConcurrencyLimit", "Limit"]
 
 DEFAULT_SLOTS = 16
 WINDOW_SAMPLES = 20
@@ -15,7 +16,50 @@
 SHORTEST_SECONDS = 1e-6
 
 
-class ConcurrencyLimit:
+class Limit(ABC):
+    """How much a backend server may run at once."""
+
+    @property
+    @abstractmethod
+    def value(self) -> int:
+        """The present limit, at least 1."""
+
+    @abstractmethod
+    def set_slots(self, slots: int) -> None:
+        """Take note of how many requests the server says it can run at once."""
+
+    @abstractmethod
+    def observe(self, route: str, own_seconds: float, running: int) -> None:
+        """Take note of the own time of a complete piece of work."""
+
+
+class AnnouncedLimit(Limit):
+    """The slots that the backend server announces.
+
+    Notes
+    -----
+    It answers servers whose work differs in length by an order of magnitude: there the least
+    latency says nothing of the usual one, and a limit that follows it sinks without cause.  Such
+    a server runs its slots at full speed and queues the rest, so its slots are the limit.
+    """
+
+    def __init__(self) -> None:
+        self._slots = DEFAULT_SLOTS
+
+    @property
+    def value(self) -> int:
+        """The announced slots."""
+        return self._slots
+
+    def set_slots(self, slots: int) -> None:
+        """Follow the server's word."""
+        self._slots = max(1, slots)
+
+    def observe(self, route: str, own_seconds: float, running: int) -> None:
+        """Do nothing."""
+
+
+class ConcurrencyLimit(Limit):
     """A limit below the announced slots that follows latency.
 
     Notes
--- a/apricotwalk/admission/_rank_queue.py
+++ b/apricotwalk/admission/_rank_queue.py
@@ -3,7 +3,7 @@
 import asyncio
 from collections.abc import Collection
 
-from apricotwalk.admission._concurrency_limit import ConcurrencyLimit
+from apricotwalk.admission._concurrency_limit import ConcurrencyLimit, Limit
 from apricotwalk.admission._demand import CapacityClaims, DemandByLevel
 from apricotwalk.admission._interface import (
     AdmissionController,
@@ -83,6 +83,8 @@
         Source of monotonic time.
     disabled : collection of Mechanism
         Mechanisms that are switched off for a proof or a baseline.
+    limit : Limit, optional
+        How much may run at once; by default it follows latency.
 
     Notes
     -----
@@ -99,10 +101,15 @@
     .. [2] I. Cho et al., "Overload Control for us-scale RPCs with Breakwater", OSDI 2020.
     """
 
-    def __init__(self, clock: Clock, disabled: Collection[Mechanism] = ()) -> None:
+    def __init__(
+        self,
+        clock: Clock,
+        disabled: Collection[Mechanism] = (),
+        limit: Limit | None = None,
+    ) -> None:
         self.clock = clock
         self._has_shares = Mechanism.FAIR_SHARES not in disabled
-        self._limit = ConcurrencyLimit()
+        self._limit = limit or ConcurrencyLimit()
         self._times = ServiceTimes()
         self._demand = DemandByLevel(DEMAND_MEMORY_SECONDS)
         self._shares = FairShares(FLOOR_MEMORY_SECONDS)
--- a/apricotwalk/meshnode/_node.py
+++ b/apricotwalk/meshnode/_node.py
@@ -5,7 +5,7 @@
 import time
 from contextlib import suppress
 
-from apricotwalk.admission import RankQueueController
+from apricotwalk.admission import AnnouncedLimit, RankQueueController
 from apricotwalk.border import MeshSettings, Platform, RouteConfiguration
 from apricotwalk.core import CallFailure, Service, SettingsError, Supervisor, SystemClock
 from apricotwalk.fleet import ConfigurationHolder, FleetMembers, StreamFollower
@@ -69,7 +69,7 @@
         self._peers = MeshPeerHandler(self.members, self.configuration)
         self.links = PeerLinks(self.members.own, self._peers, self._random)
         self.registry = BackendRegistry(settings, self.log, self._clock)
-        self.admission = RankQueueController(self._clock)
+        self.admission = RankQueueController(self._clock, limit=AnnouncedLimit())
         self.allowance = RepeatAllowance(
             settings.bounds.retry_ratio,
             settings.bounds.retry_allowance,
