--- a/apricotwalk/border/__init__.py
+++ b/apricotwalk/border/__init__.py
@@ -6,14 +6,14 @@
 here decides anything.
 """
 
-from apricotwalk.border._fields import FieldNames
 from apricotwalk.border._configuration import (
     CallerLimits,
     Route,
     RouteConfiguration,
-    ServiceShare,
     ServiceSettings,
+    ServiceShare,
 )
+from apricotwalk.border._fields import FieldNames
 from apricotwalk.border._heartbeats import Heartbeat, HeartbeatCall, HeartbeatReader
 from apricotwalk.border._platform import Platform
 from apricotwalk.border._settings import MeshBounds, MeshSettings
@@ -21,8 +21,8 @@
     HistoryLostError,
     KeyedRecord,
     KeyedStream,
-    StreamPage,
     StoreError,
+    StreamPage,
 )
 
 __all__ = [
--- a/apricotwalk/cli/_node_client.py
+++ b/apricotwalk/cli/_node_client.py
@@ -9,9 +9,8 @@
 from tornado.simple_httpclient import SimpleAsyncHTTPClient
 
 from apricotwalk.cli._exits import UnreachableError
-from apricotwalk.node import NodeStatus
 from apricotwalk.settings import Address
-from apricotwalk.telemetry import EventReport
+from apricotwalk.telemetry import EventReport, NodeStatus
 
 __all__ = ["NodeAnswer", "NodeClient"]
 
--- a/apricotwalk/forwarding/_entry.py
+++ b/apricotwalk/forwarding/_entry.py
@@ -10,8 +10,9 @@
 from apricotwalk.forwarding._server_side import _loop_time
 from apricotwalk.forwarding._statuses import response_of_failure
 from apricotwalk.http1 import HttpRequest, HttpResponse
+from apricotwalk.metrics import MeshMetrics
 from apricotwalk.routes import RouteTable, ServiceSplitter
-from apricotwalk.telemetry import DecisionLog, MeshMetrics
+from apricotwalk.telemetry import DecisionLog
 
 __all__ = ["Entry"]
 
--- a/apricotwalk/forwarding/_repeat_allowance.py
+++ b/apricotwalk/forwarding/_repeat_allowance.py
@@ -30,9 +30,7 @@
     every entry repeat at once, and the repeats keep the others overloaded.
     """
 
-    def __init__(
-        self, ratio: float, allowance: float, window_seconds: float, clock: Clock
-    ) -> None:
+    def __init__(self, ratio: float, allowance: float, window_seconds: float, clock: Clock) -> None:
         self._gain = ratio * OWN_SHARE
         self._allowance = allowance * OWN_SHARE
         self._window_seconds = window_seconds
--- a/apricotwalk/forwarding/_server_side.py
+++ b/apricotwalk/forwarding/_server_side.py
@@ -10,8 +10,9 @@
 from apricotwalk.forwarding._backend_registry import BackendRegistry, KnownServer
 from apricotwalk.forwarding._repeat_allowance import RepeatAllowance
 from apricotwalk.http1 import ServerAnswer, encode_field
+from apricotwalk.metrics import MeshMetrics
 from apricotwalk.peering import ForwardMessage, ReplyMessage
-from apricotwalk.telemetry import DecisionLog, MeshMetrics
+from apricotwalk.telemetry import DecisionLog
 
 __all__ = ["ServerSide"]
 
@@ -123,9 +124,9 @@
         registry = self._registry
         if registry.current is None:
             raise CallFailure(Verdict.NOT_RUN, "no-server", "no backend server is known here")
-        if registry.is_leaving:
-            if time.monotonic() - registry.left_at >= longest_leave_seconds:
-                raise CallFailure(Verdict.NOT_RUN, "leaving", "the backend server is leaving")
+        leaving_seconds = time.monotonic() - registry.left_at
+        if registry.is_leaving and leaving_seconds >= longest_leave_seconds:
+            raise CallFailure(Verdict.NOT_RUN, "leaving", "the backend server is leaving")
         return registry.current
 
     def _require_allowance(self, message: ForwardMessage) -> None:
--- a/apricotwalk/http1/__init__.py
+++ b/apricotwalk/http1/__init__.py
@@ -9,7 +9,13 @@
 
 from apricotwalk.http1._client import ServerAnswer, ServerConnection, ServerConnectionLost
 from apricotwalk.http1._head import encode_field, encode_request, encode_response
-from apricotwalk.http1._listener import HttpListener, HttpLimits, HttpRequest, HttpResponse, text_response
+from apricotwalk.http1._listener import (
+    HttpLimits,
+    HttpListener,
+    HttpRequest,
+    HttpResponse,
+    text_response,
+)
 
 __all__ = [
     "HttpLimits",
--- a/apricotwalk/meshnode/_node.py
+++ b/apricotwalk/meshnode/_node.py
@@ -22,10 +22,11 @@
 from apricotwalk.meshnode._peers import MeshPeerHandler
 from apricotwalk.meshnode._ports import HeartbeatPort, MetricsPort, ReadinessPort
 from apricotwalk.meshnode._probe import probe_backend
+from apricotwalk.metrics import MeshMetrics
 from apricotwalk.peering import MembersMessage, MembersRequest, PeerLinks, PeerListener
 from apricotwalk.routes import ServiceSplitter
 from apricotwalk.routing import TargetSelector
-from apricotwalk.telemetry import DecisionLog, MeshMetrics
+from apricotwalk.telemetry import DecisionLog
 
 __all__ = ["MeshNode"]
 
@@ -62,9 +63,7 @@
         settings = self.settings
         self.log = DecisionLog(settings.instance, settings.availability_zone, self._clock)
         self.metrics = MeshMetrics()
-        self.configuration = ConfigurationHolder(
-            platform.read_configuration, self.log, self._clock
-        )
+        self.configuration = ConfigurationHolder(platform.read_configuration, self.log, self._clock)
         self.members = self._build_members()
         self._peers = MeshPeerHandler(self.members, self.configuration)
         self.links = PeerLinks(self.members.own, self._peers, self._random)
@@ -177,9 +176,7 @@
             incarnation=int(time.time() * MICROSECONDS_PER_SECOND),
             state=MemberState.DEAD,
         )
-        return FleetMembers(
-            own, self._platform.open_members(), self.log, self._clock, self._random
-        )
+        return FleetMembers(own, self._platform.open_members(), self.log, self._clock, self._random)
 
     def _build_caller_listener(self) -> HttpListener:
         fields = self._platform.fields
@@ -187,9 +184,7 @@
         forwarder = Forwarder(
             self.members, selector, self.links, self.server_side, self.log, self.settings.service
         )
-        entry = Entry(
-            self.configuration, self._splitter, forwarder, fields, self.log, self.metrics
-        )
+        entry = Entry(self.configuration, self._splitter, forwarder, fields, self.log, self.metrics)
         return HttpListener(
             self.settings.callers,
             entry.answer,
--- a/apricotwalk/meshnode/_ports.py
+++ b/apricotwalk/meshnode/_ports.py
@@ -6,7 +6,8 @@
 from apricotwalk.core import WireError
 from apricotwalk.forwarding import BackendRegistry
 from apricotwalk.http1 import HttpRequest, HttpResponse, text_response
-from apricotwalk.telemetry import DecisionLog, MeshMetrics
+from apricotwalk.metrics import MeshMetrics
+from apricotwalk.telemetry import DecisionLog
 
 __all__ = ["HeartbeatPort", "MetricsPort", "ReadinessPort"]
 
--- a/apricotwalk/peering/__init__.py
+++ b/apricotwalk/peering/__init__.py
@@ -1,5 +1,7 @@
 """Connections between the nodes of a mesh: typed messages on one connection a direction."""
 
+from apricotwalk.peering._links import PeerLinks
+from apricotwalk.peering._listener import PeerHandler, PeerListener
 from apricotwalk.peering._messages import (
     CancelMessage,
     ConfigurationMessage,
@@ -17,8 +19,6 @@
     decode_peer_message,
     encode_peer_message,
 )
-from apricotwalk.peering._links import PeerLinks
-from apricotwalk.peering._listener import PeerHandler, PeerListener
 
 __all__ = [
     "CancelMessage",
--- a/apricotwalk/peering/_links.py
+++ b/apricotwalk/peering/_links.py
@@ -9,6 +9,7 @@
 from loguru import logger
 
 from apricotwalk.core import CallFailure, PauseDetector, Service, Supervisor, Verdict
+from apricotwalk.membership import Member
 from apricotwalk.peering._frames import FrameProtocol
 from apricotwalk.peering._listener import PeerHandler
 from apricotwalk.peering._messages import (
@@ -21,7 +22,6 @@
     PongMessage,
     ReplyMessage,
 )
-from apricotwalk.membership import Member
 from apricotwalk.settings import Address
 
 __all__ = ["PeerLinks"]
@@ -296,6 +296,4 @@
 
 
 def _unreachable(address: Address, detail: str) -> CallFailure:
-    return CallFailure(
-        Verdict.NOT_RUN, "peer-unreachable", f"cannot reach {address}: {detail}"
-    )
+    return CallFailure(Verdict.NOT_RUN, "peer-unreachable", f"cannot reach {address}: {detail}")
--- a/apricotwalk/telemetry/__init__.py
+++ b/apricotwalk/telemetry/__init__.py
@@ -3,8 +3,8 @@
 from apricotwalk.telemetry._decision_log import DecisionLog
 from apricotwalk.telemetry._events import Event, EventLog
 from apricotwalk.telemetry._hybrid_clock import HybridClock
-from apricotwalk.telemetry._mesh_metrics import MeshMetrics
 from apricotwalk.telemetry._metrics import Metrics
+from apricotwalk.telemetry._node_status import NodeStatus
 from apricotwalk.telemetry._timeline import (
     EventReport,
     format_timeline,
@@ -18,8 +18,8 @@
     "EventLog",
     "EventReport",
     "HybridClock",
-    "MeshMetrics",
     "Metrics",
+    "NodeStatus",
     "format_timeline",
     "merge_events",
     "to_chrome_trace",
--- a/apricotwalk_lab/scenarios/_bench.py
+++ b/apricotwalk_lab/scenarios/_bench.py
@@ -70,6 +70,9 @@
         self.control_by_instance = {plan.name: Control() for plan in plans}
         self._control_locks_by_instance = {plan.name: asyncio.Lock() for plan in plans}
         self._log_faults_lock = asyncio.Lock()
+        self._publishes_under_way = 0
+        self._publishes_ended = asyncio.Event()
+        self._publishes_ended.set()
         self.peers_links: dict[str, Link] = {}
         self.server_links: dict[str, Link] = {}
         self.log_links: dict[str, Link] = {}
@@ -232,10 +235,27 @@
         path = self.fleet.directory / f"publish-{number}.json"
         path.write_bytes(msgspec.json.encode(content))
         verb = "create" if kind == "customer" else "publish"
-        result = await self.fleet.operate(kind, verb, str(path))
+        self._publishes_under_way += 1
+        self._publishes_ended.clear()
+        try:
+            result = await self.fleet.operate(kind, verb, str(path))
+        finally:
+            self._publishes_under_way -= 1
+            if not self._publishes_under_way:
+                self._publishes_ended.set()
         output = " ".join((result.stdout + result.stderr).split())
         self.evidence.publishes[number] = Publish(time.time(), name, result.returncode == 0, output)
 
+    async def finish_publishes(self) -> None:
+        """Wait until every publish that has begun has ended.
+
+        Notes
+        -----
+        How long the operator's tool takes to start depends on the machine, so the order of a
+        publish and an outage cannot be given by times alone.
+        """
+        await self._publishes_ended.wait()
+
     async def collect(self) -> None:
         """Read the records of the backend servers and see which of them crashed."""
         for name, instance in self.fleet.instances_by_name.items():
--- a/apricotwalk_lab/scenarios/_faults.py
+++ b/apricotwalk_lab/scenarios/_faults.py
@@ -51,6 +51,9 @@
 class Fault(ABC):
     """Something that happens to the processes of a run."""
 
+    #: Whether faults of a later time wait until this one has taken effect.
+    is_awaited_by_later_faults: ClassVar[bool] = False
+
     @abstractmethod
     async def apply(self, bench: Bench) -> None:
         """Make it happen."""
@@ -377,7 +380,14 @@
 
 @dataclass(frozen=True, slots=True)
 class LogDown(_LogFault):
-    """The log service refuses every request."""
+    """The log service refuses every request, once the publishes begun before have ended."""
+
+    is_awaited_by_later_faults: ClassVar[bool] = True
+
+    async def apply(self, bench: Bench) -> None:
+        """Make it happen."""
+        await bench.finish_publishes()
+        await super(LogDown, self).apply(bench)
 
     def change(self, faults: Faults) -> None:
         """Change the faults of the log service."""
--- a/apricotwalk_lab/scenarios/_runner.py
+++ b/apricotwalk_lab/scenarios/_runner.py
@@ -179,13 +179,20 @@
     async with asyncio.TaskGroup() as group:
         for load in scenario.loads:
             group.create_task(callers.send_load(load, started))
-        for timed in scenario.faults:
-            group.create_task(_apply_at(timed, started, bench))
+        outages: list[asyncio.Task[None]] = []
+        for timed in sorted(scenario.faults, key=lambda each: each.at):
+            task = group.create_task(_apply_at(timed, started, bench, list(outages)))
+            if timed.fault.is_awaited_by_later_faults:
+                outages.append(task)
         group.create_task(asyncio.sleep(scenario.duration_seconds()))
 
 
-async def _apply_at(timed: TimedFault, started: float, bench: Bench) -> None:
+async def _apply_at(
+    timed: TimedFault, started: float, bench: Bench, outages: list[asyncio.Task[None]]
+) -> None:
     await asyncio.sleep(max(0.0, started + timed.at - time.monotonic()))
+    if outages:
+        await asyncio.wait(outages)
     await timed.fault.apply(bench)
 
 
--- a/tests/test_scenario_bench.py
+++ b/tests/test_scenario_bench.py
@@ -2,12 +2,22 @@
 
 import asyncio
 import random
+import subprocess
 
 import pytest
 
+from apricotwalk.policy import Customer
 from apricotwalk_lab.processes import InstancePlan
 from apricotwalk_lab.scenarios._bench import Bench
-from apricotwalk_lab.scenarios._faults import LieSlots, LogLosesAnswers, LogSlow, Slow, Truncate
+from apricotwalk_lab.scenarios._faults import (
+    LieSlots,
+    LogDown,
+    LogLosesAnswers,
+    LogSlow,
+    PublishRecord,
+    Slow,
+    Truncate,
+)
 
 
 class SlowerFirst:
@@ -72,3 +82,33 @@
         assert sorted(each.lose_answers for each in bench.fleet.faults) == [0, 4]
 
     run(body())
+
+
+class SlowTool(Recording):
+    """A fleet on which the operator's tool takes long to start."""
+
+    def __init__(self, directory):
+        super().__init__()
+        self.directory = directory
+        self.was_down_at_publish = None
+
+    async def operate(self, *arguments):
+        await asyncio.sleep(0.05)
+        self.was_down_at_publish = any(each.is_down for each in self.faults)
+        return subprocess.CompletedProcess(arguments, 0, "", "")
+
+
+def test_an_outage_begins_after_the_publishes_that_began_before_it(run, tmp_path):
+    async def body():
+        plan = InstancePlan(name="menu-1", service="menu", availability_zone="z", slots=2)
+        bench = Bench(tmp_path, [plan], random.Random(1), 3600.0, [], False)
+        bench.fleet = SlowTool(tmp_path)
+        record = Customer(name="school", version=2, template="mesh", template_version=1)
+        publish = asyncio.create_task(PublishRecord(record).apply(bench))
+        await asyncio.sleep(0.01)
+        await LogDown().apply(bench)
+        await publish
+        assert bench.fleet.was_down_at_publish is False
+        assert bench.fleet.faults[-1].is_down
+
+    run(body())
