--- a/apricotwalk/forwarding/_repeat_allowance.py
+++ b/apricotwalk/forwarding/_repeat_allowance.py
@@ -7,6 +7,8 @@
 # The calls of a repeated run count as repeats below it, and chains are four services deep
 # on the users' meshes, so each service spends a quarter of what is allowed itself.
 OWN_SHARE = 0.25
+# A node that restarts may repeat one request before it has seen any traffic.
+FIRST_TOKENS = 1.0
 
 
 class RepeatAllowance:
@@ -36,7 +38,7 @@
         self._window_seconds = window_seconds
         self._clock = clock
         self._member_count = 1
-        self._tokens = 0.0
+        self._tokens = FIRST_TOKENS
         self._refilled = clock.monotonic()
 
     def set_member_count(self, count: int) -> None:
--- /dev/null
+++ b/tests/mesh_fakes.py
@@ -0,0 +1,305 @@
+"""Stand-ins of the platform and of backend servers for tests of a mesh."""
+
+import asyncio
+import itertools
+import socket
+
+from apricotwalk.border import (
+    CallerLimits,
+    FieldNames,
+    HistoryLostError,
+    KeyedRecord,
+    KeyedStream,
+    MeshBounds,
+    MeshSettings,
+    Platform,
+    Route,
+    RouteConfiguration,
+    ServiceSettings,
+    ServiceShare,
+    StoreError,
+    StreamPage,
+)
+from apricotwalk.core import Execution
+from apricotwalk.platform._heartbeats import StatusReportReader
+from apricotwalk.settings import Address
+
+FIELDS = FieldNames("Id", "Deadline", "Expect", "Caller", "Seal", "Refused", "Load", "Server")
+LIMITS = CallerLimits(4096, 65_536, 1.0, 10.0)
+
+
+def free_address():
+    with socket.socket() as probe:
+        probe.bind(("127.0.0.1", 0))
+        return Address("127.0.0.1", probe.getsockname()[1])
+
+
+def new_route(name, service, execution=Execution.REPEATABLE, **changes):
+    facts = {
+        "name": name,
+        "host": "mesh",
+        "path_prefix": f"/{name}/",
+        "shares": (ServiceShare(service, 1.0),),
+        "execution": execution,
+        "rank": 1,
+        "timeout_seconds": 2.0,
+        "objective_seconds": 1.0,
+        "largest_target_count": 2,
+    }
+    return Route(**{**facts, **changes})
+
+
+def new_configuration(version, *routes, encoded=b"", limits=LIMITS):
+    services = {share.service for route in routes for share in route.shares}
+    settings = {name: ServiceSettings(name, "/health", 100) for name in services}
+    return RouteConfiguration(version, tuple(routes), settings, limits, encoded)
+
+
+class FakeStream(KeyedStream):
+    """A keyed stream in memory."""
+
+    def __init__(self):
+        self.records = []
+        self.first = 0
+        self.is_down = False
+        self.puts = 0
+        self._changed = asyncio.Event()
+
+    async def newest(self):
+        self._require_up()
+        newest = {}
+        for record in self.records:
+            newest[record.key] = record
+        kept = tuple(record for record in newest.values() if record.value is not None)
+        return StreamPage(kept, len(self.records))
+
+    async def read(self, offset, wait_seconds):
+        self._require_up()
+        if offset < self.first:
+            raise HistoryLostError("gone")
+        if offset >= len(self.records):
+            self._changed.clear()
+            try:
+                async with asyncio.timeout(wait_seconds):
+                    await self._changed.wait()
+            except TimeoutError:
+                return StreamPage((), offset)
+        self._require_up()
+        return StreamPage(tuple(self.records[offset:]), len(self.records))
+
+    async def put(self, record):
+        self.puts += 1
+        self._require_up()
+        self.add(record)
+
+    def add(self, record):
+        self.records.append(record)
+        self._changed.set()
+
+    def go_down(self):
+        self.is_down = True
+        self._changed.set()
+
+    def _require_up(self):
+        if self.is_down:
+            raise StoreError("down")
+
+
+class FakeStore:
+    """What all nodes of a test share."""
+
+    def __init__(self):
+        self.configuration = FakeStream()
+        self.members = FakeStream()
+        self.versions = {}
+
+    def publish(self, configuration):
+        value = str(configuration.version).encode()
+        self.versions[value] = RouteConfiguration(
+            configuration.version,
+            configuration.routes,
+            configuration.services_by_name,
+            configuration.limits,
+            value,
+        )
+        self.configuration.add(KeyedRecord("config", value))
+
+
+class FakePlatform(Platform):
+    """The adapter of a platform whose store is in memory."""
+
+    def __init__(self, store, service, instance, zone="a", seeds=(), **bounds):
+        self._store = store
+        facts = {
+            "drain_seconds": 2.0,
+            "stop_seconds": 4.0,
+            "configuration_seconds": 2.0,
+            "retry_ratio": 0.2,
+            "retry_window_seconds": 10.0,
+            "retry_allowance": 40.0,
+        }
+        self.settings = MeshSettings(
+            instance=instance,
+            service=service,
+            availability_zone=zone,
+            region="r",
+            callers=free_address(),
+            backend=free_address(),
+            readiness=free_address(),
+            heartbeats=free_address(),
+            peers=free_address(),
+            metrics=free_address(),
+            seeds=tuple(seeds),
+            store=Address("127.0.0.1", 1),
+            heartbeat_seconds=1.5,
+            bounds=MeshBounds(**{**facts, **bounds}),
+        )
+        self.fields = FIELDS
+        self.heartbeats = StatusReportReader()
+        self.readiness_path = "/ready"
+        self.is_closed = False
+
+    def load_settings(self):
+        return self.settings
+
+    def open_configuration(self):
+        return self._store.configuration
+
+    def read_configuration(self, record_key, value):
+        return self._store.versions.get(value)
+
+    def open_members(self):
+        return self._store.members
+
+    def close(self):
+        self.is_closed = True
+
+
+class Answer:
+    """How a fake server answers a request."""
+
+    def __init__(self, status=200, body=b"done", delay=0.0, raw=None, closes=False, fields=()):
+        self.status = status
+        self.body = body
+        self.delay = delay
+        self.raw = raw
+        self.closes = closes
+        self.fields = fields
+
+
+class FakeServer:
+    """A backend server that keeps a record of what reached it."""
+
+    def __init__(self, address, server="s-1", slots=8):
+        self.address = address
+        self.server = server
+        self.slots = slots
+        self.requests = []
+        self.broken_off = 0
+        self.answer = lambda request: Answer()
+        self._listener = None
+        self._writers = set()
+
+    async def start(self):
+        self._listener = await asyncio.start_server(
+            self._serve, self.address.host, self.address.port
+        )
+
+    async def close(self):
+        self._listener.close()
+        for writer in list(self._writers):
+            writer.transport.abort()
+
+    def bodies(self):
+        return [request["body"] for request in self.requests]
+
+    async def _serve(self, reader, writer):
+        self._writers.add(writer)
+        try:
+            while True:
+                request = await read_message(reader)
+                await self._answer_one(request, reader, writer)
+        except (asyncio.IncompleteReadError, ConnectionError):
+            pass
+        finally:
+            self._writers.discard(writer)
+            writer.close()
+
+    async def _answer_one(self, request, reader, writer):
+        if request["target"] == "/health":
+            fields = f"Server: {self.server}\r\nLoad: 0,0,{self.slots}\r\n"
+            writer.write(f"HTTP/1.1 200 OK\r\n{fields}Content-Length: 0\r\n\r\n".encode())
+            return
+        self.requests.append(request)
+        answer = self.answer(request)
+        if answer.delay:
+            await self._work(answer.delay, reader)
+        if answer.raw is not None:
+            writer.write(answer.raw)
+        else:
+            seal = "" if answer.status == 503 else "Seal: x\r\n"
+            head = f"HTTP/1.1 {answer.status} X\r\nId: {request['fields'].get('id', '')}\r\n{seal}"
+            head += "".join(f"{name}: {value}\r\n" for name, value in answer.fields)
+            head += f"Content-Length: {len(answer.body)}\r\n\r\n"
+            writer.write(head.encode() + answer.body)
+        if answer.closes:
+            raise ConnectionError
+
+    async def _work(self, seconds, reader):
+        waiter = asyncio.ensure_future(reader.read(1))
+        done, _ = await asyncio.wait({waiter}, timeout=seconds)
+        if done:
+            self.broken_off += 1
+            raise ConnectionError
+        waiter.cancel()
+
+
+async def read_message(reader):
+    """Return the next request or answer with a length."""
+    head = (await reader.readuntil(b"\r\n\r\n")).decode("latin1").split("\r\n")
+    fields = {}
+    for line in head[1:]:
+        name, _, value = line.partition(": ")
+        fields[name.lower()] = value
+    body = await reader.readexactly(int(fields.get("content-length", 0)))
+    first = head[0].split(" ")
+    return {"method": first[0], "target": first[1], "fields": fields, "body": body}
+
+
+class FakeCaller:
+    """A caller on one kept connection."""
+
+    _ids = itertools.count(1)
+
+    def __init__(self, address):
+        self.address = address
+        self.reader = None
+        self.writer = None
+
+    async def open(self):
+        self.reader, self.writer = await asyncio.open_connection(
+            self.address.host, self.address.port
+        )
+        return self
+
+    def send(self, target, body=b"", method="GET", deadline_ms=2000, request_id=None):
+        request_id = request_id or f"q{next(self._ids)}"
+        head = f"{method} {target} HTTP/1.1\r\nHost: mesh\r\nId: {request_id}\r\n"
+        if deadline_ms is not None:
+            head += f"Deadline: {deadline_ms}\r\n"
+        if body:
+            head += f"Content-Length: {len(body)}\r\n"
+        self.writer.write(head.encode() + b"\r\n" + body)
+        return request_id
+
+    async def receive(self):
+        """Return status, fields and body of the next answer."""
+        message = await read_message(self.reader)
+        return int(message["target"]), message["fields"], message["body"]
+
+    async def ask(self, target, **facts):
+        self.send(target, **facts)
+        return await self.receive()
+
+    def close(self):
+        self.writer.close()
