Run the mesh node on uvloop and count no demand by level there

Cause: profile of the two-node path, 4.5 s of 12.7 s in asyncio's selector loop, 0.38 s in demand by level, which nothing on this path reads. In one process with callers and servers: 1.77 ms a request before, 1.09 ms after (profiled).

--- a/apricotwalk/admission/_rank_queue.py
+++ b/apricotwalk/admission/_rank_queue.py
@@ -109,6 +109,7 @@
     ) -> None:
         self.clock = clock
         self._has_shares = Mechanism.FAIR_SHARES not in disabled
+        self._has_levels = Mechanism.EARLY_SHEDDING not in disabled
         self._limit = limit or ConcurrencyLimit()
         self._times = ServiceTimes()
         self._demand = DemandByLevel(DEMAND_MEMORY_SECONDS)
@@ -124,7 +125,8 @@
         """Wait for a slot; see `AdmissionController.acquire`."""
         now = self.clock.monotonic()
         cost = self._times.own(item.route)
-        self._take_note_of_demand(item, cost, now)
+        if self._has_levels:
+            self._take_note_of_demand(item, cost, now)
         if self._is_hopeless(item, now) and not self._times.take_probe(item.route, now):
             raise _deadline_failure()
         if self._occupied < self._limit.value and not len(self._waiting):
--- a/apricotwalk/daemon/mesh.py
+++ b/apricotwalk/daemon/mesh.py
@@ -5,6 +5,7 @@
 import signal
 import sys
 
+import uvloop
 from loguru import logger
 
 from apricotwalk.core import SettingsError
@@ -33,7 +34,8 @@
     logger.remove()
     logger.add(sys.stdout, level="INFO", serialize=True, backtrace=False, diagnose=False)
     try:
-        asyncio.run(_run(platform))
+        with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
+            runner.run(_run(platform))
     except OSError as error:
         print(f"apricotwalk-mesh: cannot run: {error}", file=sys.stderr)
         sys.exit(EXIT_CANNOT_START)
--- a/apricotwalk/meshnode/_node.py
+++ b/apricotwalk/meshnode/_node.py
@@ -7,7 +7,14 @@
 
 from apricotwalk.admission import AnnouncedLimit, RankQueueController
 from apricotwalk.border import MeshSettings, Platform, RouteConfiguration
-from apricotwalk.core import CallFailure, Service, SettingsError, Supervisor, SystemClock
+from apricotwalk.core import (
+    CallFailure,
+    Mechanism,
+    Service,
+    SettingsError,
+    Supervisor,
+    SystemClock,
+)
 from apricotwalk.fleet import ConfigurationHolder, FleetMembers, StreamFollower
 from apricotwalk.forwarding import (
     BackendPool,
@@ -30,6 +37,8 @@
 
 __all__ = ["MeshNode"]
 
+# Calls on the platform name neither customers nor the request that they are part of.
+UNUSED_MECHANISMS = (Mechanism.EARLY_SHEDDING, Mechanism.FAIR_SHARES)
 MICROSECONDS_PER_SECOND = 1_000_000
 # Two questions for readiness, one second apart, have to find the node not ready before callers
 # stay away.
@@ -68,7 +77,7 @@
         self._peers = MeshPeerHandler(self.members, self.configuration)
         self.links = PeerLinks(self.members.own, self._peers, self._random)
         self.registry = BackendRegistry(settings, self.log, self._clock)
-        self.admission = RankQueueController(self._clock, limit=AnnouncedLimit())
+        self.admission = RankQueueController(self._clock, UNUSED_MECHANISMS, limit=AnnouncedLimit())
         self.allowance = RepeatAllowance(
             settings.bounds.retry_ratio,
             settings.bounds.retry_allowance,
