--- a/tests/test_mesh_path.py
+++ b/tests/test_mesh_path.py
@@ -19,6 +19,9 @@
 DISPATCH = new_route("dispatch", "dispatch-svc", Execution.AT_MOST_ONCE)
 
 
+FIRST_VERSION = new_configuration(1, MENU, DISPATCH)
+
+
 class Mesh:
     """Nodes, each with a server beside it."""
 
@@ -57,7 +60,7 @@
 
 
 @asynccontextmanager
-async def mesh_of(*places, version=new_configuration(1, MENU, DISPATCH)):
+async def mesh_of(*places, version=FIRST_VERSION):
     mesh = Mesh()
     mesh.store.publish(version)
     try:
