Close callers' connections in time when a node stops

Change: 2.3 s after SIGTERM the node accepts no connection and closes each one that has no request, again and again; test_mesh_path has a test that hangs without it. Ruled out: the node beside the server; the request was with the entry all the while.

--- a/apricotwalk/meshnode/_node.py
+++ b/apricotwalk/meshnode/_node.py
@@ -135,24 +135,32 @@
         )
 
     async def drain(self) -> None:
-        """Stop taking work, and answer everything that was read."""
+        """Stop taking work, and answer everything that was read.
+
+        Notes
+        -----
+        Callers may go on using open connections, so connections without a request are closed
+        as soon as callers had the time to notice that the node is not ready.
+        """
         self.log.believe("node-stopping")
         began = time.monotonic()
         self.is_stopping = True
         self.members.announce(MemberState.LEAVING, "this node stops")
         self._peer_listener.say_goodbye()
         self._callers.retire()
+        await asyncio.sleep(LEAVE_NOTICE_SECONDS)
+        self._callers.stop_listening()
         give_up = began + self.settings.bounds.stop_seconds - STOP_MARGIN_SECONDS
         while time.monotonic() < give_up:
-            is_noticed = time.monotonic() - began >= LEAVE_NOTICE_SECONDS
-            if is_noticed and not self._is_busy():
+            self._callers.close_idle()
+            if not self.is_busy:
                 return
             await asyncio.sleep(STOP_CHECK_SECONDS)
 
     async def close(self) -> None:
         """Close every service."""
         self._callers.stop_listening()
-        self.log.believe("node-stopped", is_busy=self._is_busy())
+        self.log.believe("node-stopped", is_busy=self.is_busy)
         await self._supervisor.close()
         self._platform.close()
 
@@ -171,7 +179,9 @@
         self.pool.address = settings.backend
         self.log.believe("settings-reloaded", changed=True, service=settings.service)
 
-    def _is_busy(self) -> bool:
+    @property
+    def is_busy(self) -> bool:
+        """Whether any request is in work."""
         return self._callers.is_busy or self._peer_listener.calls_in_flight > 0
 
     def _build_members(self) -> FleetMembers:
--- a/tests/test_mesh_path.py
+++ b/tests/test_mesh_path.py
@@ -239,3 +239,31 @@
         assert (status, answer, fields["connection"]) == (200, b"whole", "close")
 
     run(body())
+
+
+def test_a_stopping_node_closes_connections_that_callers_keep_using(run):
+    async def body():
+        async with mesh_of(("m1", "menu-svc"), ("m2", "menu-svc")) as mesh:
+            for server in mesh.servers.values():
+                server.answer = lambda request: Answer(body=b"whole", delay=0.2)
+            node = mesh.nodes.pop("m1")
+            callers = [await FakeCaller(node.settings.callers).open() for _ in range(4)]
+            drained = asyncio.create_task(node.drain())
+            answers = await asyncio.gather(*(use_until_closed(caller) for caller in callers))
+            await drained
+            assert not node.is_busy
+            assert all(status == 200 for statuses in answers for status in statuses)
+            await node.close()
+
+    async def use_until_closed(caller):
+        """Keep one request in work on each connection for as long as the node takes any."""
+        statuses = []
+        while True:
+            try:
+                statuses.append((await caller.ask("/menu/1"))[0])
+                caller.close()
+                await caller.open()
+            except (asyncio.IncompleteReadError, ConnectionError):
+                return statuses
+
+    run(body())
