--- a/apricotwalk/forwarding/_backend_pool.py
+++ b/apricotwalk/forwarding/_backend_pool.py
@@ -84,7 +84,7 @@
         except ServerConnectionLost as error:
             raise CallFailure(
                 Verdict.MAY_HAVE_RUN,
-                "answer-incomplete" if error.has_begun else "backend-connection-lost",
+                "answer-incomplete",
                 str(error),
                 502,
             ) from error
--- a/apricotwalk/forwarding/_forwarder.py
+++ b/apricotwalk/forwarding/_forwarder.py
@@ -11,6 +11,7 @@
 from apricotwalk.forwarding._server_side import ServerSide
 from apricotwalk.membership import Member
 from apricotwalk.peering import ForwardMessage, PeerLinks, ReplyMessage
+from apricotwalk.quarantine import QuarantineBoard
 from apricotwalk.routing import TargetSelector
 from apricotwalk.telemetry import DecisionLog
 
@@ -85,6 +86,8 @@
         Connections to other nodes.
     server_side : ServerSide
         Runs requests for which this node itself is chosen.
+    board : QuarantineBoard
+        Requests that crash backend servers; what is known travels with requests and replies.
     log : DecisionLog
         Receives each further try.
     caller_service : str
@@ -97,6 +100,7 @@
         selector: TargetSelector,
         links: PeerLinks,
         server_side: ServerSide,
+        board: QuarantineBoard,
         log: DecisionLog,
         caller_service: str,
     ) -> None:
@@ -104,6 +108,7 @@
         self._selector = selector
         self._links = links
         self._server_side = server_side
+        self._board = board
         self._log = log
         self.caller_service = caller_service
         self.clock: Callable[[], float] = time.monotonic
@@ -222,6 +227,7 @@
             fields=request.fields,
             body=request.body,
             caller_service=self.caller_service,
+            suspects=self._board.suspects(),
         )
 
     async def _send(self, member: Member, message: ForwardMessage) -> ReplyMessage:
@@ -238,5 +244,6 @@
         except BaseException:
             self._selector.abandoned(member.instance)
             raise
+        self._board.merge(reply.suspects)
         self._selector.answered(member.instance, message.route, reply, self.clock() - began)
         return reply
--- a/apricotwalk/forwarding/_server_side.py
+++ b/apricotwalk/forwarding/_server_side.py
@@ -12,6 +12,7 @@
 from apricotwalk.http1 import ServerAnswer, encode_field
 from apricotwalk.metrics import MeshMetrics
 from apricotwalk.peering import ForwardMessage, ReplyMessage
+from apricotwalk.quarantine import CrashWatch, fingerprint
 from apricotwalk.telemetry import DecisionLog
 
 __all__ = ["ServerSide"]
@@ -38,6 +39,8 @@
         Decides what runs and when.
     allowance : RepeatAllowance
         Bounds repeats.
+    crash_watch : CrashWatch
+        Tells which request crashed the server.
     fields : FieldNames
         Names of header fields.
     log : DecisionLog
@@ -52,6 +55,7 @@
         pool: BackendPool,
         admission: AdmissionController,
         allowance: RepeatAllowance,
+        crash_watch: CrashWatch,
         fields: FieldNames,
         log: DecisionLog,
         metrics: "MeshMetrics",
@@ -60,6 +64,7 @@
         self._pool = pool
         self._admission = admission
         self._allowance = allowance
+        self._crash_watch = crash_watch
         self._fields = fields
         self._signature = fields.signature.lower().encode()
         self._not_run = fields.not_run.lower().encode()
@@ -92,6 +97,7 @@
                 failure.cause,
                 load=self._admission.load(),
                 reported_load=self.reported_load,
+                suspects=self._crash_watch.board.suspects(),
                 retry_after=failure.retry_after or 0.0,
             )
         self._metrics.count_server_side("completed")
@@ -110,6 +116,7 @@
         deadline = time.monotonic() + message.remaining_ms / 1000
         if message.service != self._registry.settings.service:
             raise CallFailure(Verdict.NOT_RUN, "no-server", "another service runs here")
+        self._crash_watch.board.merge(message.suspects)
         self._require_server(0.0)
         self._require_allowance(message)
         permit = await self._admission.acquire(_to_work_item(message, deadline))
@@ -142,15 +149,7 @@
         began = time.monotonic()
         try:
             async with asyncio.timeout_at(_loop_time(deadline)):
-                answer = await self._pool.send(
-                    message.method,
-                    message.target,
-                    self._fields_of(message, known, deadline),
-                    message.body,
-                    message.request_id,
-                    message.at_most_once,
-                )
-            self._judge(answer)
+                answer = await self._exchange(message, known, deadline)
             outcome = Outcome.SUCCEEDED if answer.status < SERVER_ERROR else Outcome.FAILED
             self._metrics.time_server_side(time.monotonic() - began)
             return answer
@@ -163,12 +162,31 @@
             outcome = Outcome.CANCELLED
             raise
         except CallFailure as failure:
-            if failure.cause == "backend-unreachable":
+            if failure.cause in ("backend-unreachable", "server-crashed"):
                 self._registry.lose(str(failure))
             raise
         finally:
             permit.release(outcome)
 
+    async def _exchange(
+        self, message: ForwardMessage, known: KnownServer, deadline: float
+    ) -> ServerAnswer:
+        mark = fingerprint(
+            message.caller_service, message.route, message.method, message.target, message.body
+        )
+        run_id = f"{message.call} {message.request_id}"
+        async with self._crash_watch.run(run_id, mark, message.service, self._pool):
+            answer = await self._pool.send(
+                message.method,
+                message.target,
+                self._fields_of(message, known, deadline),
+                message.body,
+                message.request_id,
+                message.at_most_once,
+            )
+        self._judge(answer)
+        return answer
+
     def _fields_of(self, message: ForwardMessage, known: KnownServer, deadline: float) -> bytes:
         remaining_ms = max(1, int((deadline - time.monotonic()) * 1000))
         return b"".join(
--- a/apricotwalk/forwarding/_statuses.py
+++ b/apricotwalk/forwarding/_statuses.py
@@ -8,8 +8,8 @@
 SERVICE_UNAVAILABLE = 503
 BAD_GATEWAY = 502
 GATEWAY_TIMEOUT = 504
-FIRST_CLIENT_ERROR = 400
-FIRST_SERVER_ERROR = 500
+# Requests that cannot succeed as they are; a caller that came back would be refused again.
+HOPELESS_STATUSES = frozenset({400, 404, 413, 431})
 # Room is usually back within a fraction of a second; a caller that returns sooner finds none.
 DEFAULT_RETRY_AFTER_SECONDS = 0.3
 
@@ -24,8 +24,7 @@
     """
     cause = encode_field("Content-Type", "text/plain")
     body = f"{failure.cause}: {failure}\n".encode()
-    is_refused = FIRST_CLIENT_ERROR <= failure.status < FIRST_SERVER_ERROR
-    if failure.verdict is Verdict.NOT_RUN and is_refused:
+    if failure.verdict is Verdict.NOT_RUN and failure.status in HOPELESS_STATUSES:
         return HttpResponse(failure.status, cause, body)
     if failure.verdict is Verdict.NOT_RUN:
         seconds = failure.retry_after or DEFAULT_RETRY_AFTER_SECONDS
--- a/apricotwalk/http1/_client.py
+++ b/apricotwalk/http1/_client.py
@@ -17,19 +17,7 @@
 
 
 class ServerConnectionLost(ApricotwalkError):  # noqa: N818
-    """A connection ended, or brought what is no answer, before the answer was whole.
-
-    Parameters
-    ----------
-    detail : str
-        What happened.
-    has_begun : bool
-        Whether part of an answer had arrived.
-    """
-
-    def __init__(self, detail: str, has_begun: bool) -> None:
-        super().__init__(detail)
-        self.has_begun = has_begun
+    """A connection ended, or brought what is no answer, before the answer was whole."""
 
 
 @dataclass(slots=True)
@@ -82,7 +70,6 @@
         self._is_head = False
         self._is_spoilt = False
         self._has_length = False
-        self._has_begun = False
         self._in_message = False
         self._writes_pending = False
         self._fields: list[bytes] = []
@@ -116,7 +103,6 @@
         self._answer = asyncio.get_running_loop().create_future()
         self._request_id = request_id
         self._is_head = is_head
-        self._has_begun = False
         self._transport.write(request)
         return self._answer
 
@@ -182,7 +168,6 @@
 
     def on_headers_complete(self) -> None:
         """Take note of a complete head; called by the parser."""
-        self._has_begun = True
         status = self._parser.get_status_code()
         if status in STATUSES_WITHOUT_BODY or status < FIRST_FINAL_STATUS:
             self._has_length = True
@@ -230,7 +215,7 @@
         answer, self._answer = self._answer, None
         self._is_spoilt = True
         if answer is not None and not answer.done():
-            answer.set_exception(ServerConnectionLost(detail, self._has_begun))
+            answer.set_exception(ServerConnectionLost(detail))
 
 
 def _parse_timeout(value: bytes) -> float:
--- a/apricotwalk/meshnode/_node.py
+++ b/apricotwalk/meshnode/_node.py
@@ -30,7 +30,14 @@
 from apricotwalk.meshnode._ports import HeartbeatPort, MetricsPort, ReadinessPort
 from apricotwalk.meshnode._probe import probe_backend
 from apricotwalk.metrics import MeshMetrics
-from apricotwalk.peering import MembersMessage, MembersRequest, PeerLinks, PeerListener
+from apricotwalk.peering import (
+    MembersMessage,
+    MembersRequest,
+    PeerLinks,
+    PeerListener,
+    SuspectsMessage,
+)
+from apricotwalk.quarantine import CrashWatch, QuarantineBoard
 from apricotwalk.routes import ServiceSplitter
 from apricotwalk.routing import TargetSelector
 from apricotwalk.telemetry import DecisionLog
@@ -39,6 +46,8 @@
 
 # Calls on the platform name neither customers nor the request that they are part of.
 UNUSED_MECHANISMS = (Mechanism.EARLY_SHEDDING, Mechanism.FAIR_SHARES)
+# Requests of one kind can be alike, and several servers can crash by other causes while they run.
+CRASH_LIMIT = 3
 MICROSECONDS_PER_SECOND = 1_000_000
 # Two questions for readiness, one second apart, have to find the node not ready before callers
 # stay away.
@@ -95,16 +104,20 @@
                 "Content-Encoding",
             ),
         )
+        self.board = QuarantineBoard(self._clock, CRASH_LIMIT)
+        crash_watch = CrashWatch(settings.instance, self.board, self._spread_suspects)
         self.server_side = ServerSide(
             self.registry,
             self.pool,
             self.admission,
             self.allowance,
+            crash_watch,
             platform.fields,
             self.log,
             self.metrics,
         )
         self._peers.server_side = self.server_side
+        self._peers.board = self.board
         self._splitter = ServiceSplitter(self._random)
         self._peer_listener = PeerListener(settings.peers, self._peers)
         self._callers = self._build_caller_listener()
@@ -201,7 +214,13 @@
         fields = self._platform.fields
         selector = TargetSelector(self.settings.availability_zone, self._random, self._clock)
         forwarder = Forwarder(
-            self.members, selector, self.links, self.server_side, self.log, self.settings.service
+            self.members,
+            selector,
+            self.links,
+            self.server_side,
+            self.board,
+            self.log,
+            self.settings.service,
         )
         entry = Entry(self.configuration, self._splitter, forwarder, fields, self.log, self.metrics)
         return HttpListener(
@@ -251,6 +270,12 @@
         else:
             self.members.announce(MemberState.ALIVE, "the backend server is ready")
 
+    def _spread_suspects(self, service: str) -> None:
+        suspects = self.board.suspects()
+        self.log.believe("server-crashed", service=service, suspects=len(suspects))
+        self.links.tell_all(SuspectsMessage(suspects))
+        self._peer_listener.tell_all(SuspectsMessage(suspects))
+
     def _tell_own(self, own: Member) -> None:
         self.links.own = own
         message = MembersMessage([own])
--- a/apricotwalk/meshnode/_peers.py
+++ b/apricotwalk/meshnode/_peers.py
@@ -15,7 +15,9 @@
     PeerHandler,
     PeerMessage,
     ReplyMessage,
+    SuspectsMessage,
 )
+from apricotwalk.quarantine import QuarantineBoard
 
 __all__ = ["MeshPeerHandler"]
 
@@ -39,6 +41,7 @@
         self._configuration = configuration
         self._exchanged = 0.0
         self.server_side: ServerSide | None = None
+        self.board: QuarantineBoard | None = None
 
     async def handle_forward(self, message: ForwardMessage) -> ReplyMessage:
         """Return the outcome of a request; see `PeerHandler.handle_forward`."""
@@ -71,6 +74,9 @@
             send(MembersMessage(self._members.known()))
         elif isinstance(message, GreetingMessage):
             self._members.take(message.member, "greeting")
+        elif isinstance(message, SuspectsMessage):
+            if self.board is not None:
+                self.board.merge(message.suspects)
         elif isinstance(message, ConfigurationMessage):
             self._configuration.take(message.key, message.encoded, "peer")
         elif isinstance(message, ConfigurationRequest):
--- a/apricotwalk/node/_call_plane.py
+++ b/apricotwalk/node/_call_plane.py
@@ -5,13 +5,12 @@
 from apricotwalk.core import Mechanism, Supervisor, new_identifier
 from apricotwalk.membership import Membership
 from apricotwalk.node._foundation import Foundation
-from apricotwalk.quarantine import QuarantineBoard
+from apricotwalk.quarantine import CrashWatch, QuarantineBoard
 from apricotwalk.retries import ResendThrottle
 from apricotwalk.routing import CalleeThresholds, TargetSelector
 from apricotwalk.serving import (
     ActiveCalls,
     AtMostOnceDispatcher,
-    CrashWatch,
     Dispatcher,
     Executor,
     SuspectSpreader,
--- a/apricotwalk/serving/_crash_watch.py
+++ b/apricotwalk/quarantine/_crash_watch.py
@@ -3,14 +3,19 @@
 import asyncio
 from collections.abc import Callable
 from types import TracebackType
+from typing import Protocol
 
 from apricotwalk.core import CallFailure, Verdict
-from apricotwalk.quarantine import QuarantineBoard
-from apricotwalk.serving._backend import BackendClient
+from apricotwalk.quarantine._board import QuarantineBoard
 
 __all__ = ["CrashWatch"]
 
 
+class _Backend(Protocol):
+    async def is_listening(self) -> bool:
+        """Return whether the backend server accepts connections; unsure counts as yes."""
+
+
 class CrashWatch:
     """Follows what runs on a backend server and reports it when the server crashes.
 
@@ -50,9 +55,7 @@
         """
         return _Turn(self, fingerprint, longest_seconds)
 
-    def run(
-        self, call_id: str, fingerprint: int, service: str, backend: BackendClient
-    ) -> "_WatchedRun":
+    def run(self, call_id: str, fingerprint: int, service: str, backend: _Backend) -> "_WatchedRun":
         """Report the request if the server crashes meanwhile, and clear it if it completes.
 
         Raises
@@ -98,7 +101,7 @@
                 Verdict.NOT_RUN, "deadline-passed", "waited behind a suspected request", 504
             ) from error
 
-    async def has_crashed(self, call_id: str, service: str, backend: BackendClient) -> bool:
+    async def has_crashed(self, call_id: str, service: str, backend: _Backend) -> bool:
         """Return whether a broken answer means a crash, and report it if nobody has yet."""
         async with self._judging:
             if call_id not in self._fingerprints_by_call_id:
@@ -158,7 +161,7 @@
         call_id: str,
         fingerprint: int,
         service: str,
-        backend: BackendClient,
+        backend: _Backend,
     ) -> None:
         self._watch = watch
         self._call_id = call_id
--- a/apricotwalk/serving/__init__.py
+++ b/apricotwalk/serving/__init__.py
@@ -5,7 +5,6 @@
 from apricotwalk.serving._at_most_once import AtMostOnceDispatcher
 from apricotwalk.serving._backend import BackendClient
 from apricotwalk.serving._caller_port import CallerPort
-from apricotwalk.serving._crash_watch import CrashWatch
 from apricotwalk.serving._dispatcher import Dispatcher, OutgoingCall
 from apricotwalk.serving._executor import Executor
 from apricotwalk.serving._inner_calls import InnerCalls
@@ -18,7 +17,6 @@
     "AtMostOnceDispatcher",
     "BackendClient",
     "CallerPort",
-    "CrashWatch",
     "Dispatcher",
     "Executor",
     "InnerCalls",
--- a/apricotwalk/serving/_executor.py
+++ b/apricotwalk/serving/_executor.py
@@ -15,7 +15,7 @@
     WorkItem,
 )
 from apricotwalk.core import ALL_ON, CallFailure, Mechanism, MechanismSwitches, Verdict
-from apricotwalk.quarantine import fingerprint
+from apricotwalk.quarantine import CrashWatch, fingerprint
 from apricotwalk.retries import RetryBudget, new_budget
 from apricotwalk.routing import CalleeReport, CalleeThresholds, GrowthBound
 from apricotwalk.serving._active_calls import ActiveCall, ActiveCalls
@@ -26,7 +26,6 @@
     to_answer_message,
 )
 from apricotwalk.serving._backend import BackendClient
-from apricotwalk.serving._crash_watch import CrashWatch
 from apricotwalk.serving._headers import CALL_HEADER, DEADLINE_HEADER, KEY_HEADER, REQUEST_HEADER
 from apricotwalk.telemetry import EventLog, Metrics
 from apricotwalk.wire import AnswerMessage, CallHandler, CallMessage, SuspectsMessage
--- a/tests/test_executor.py
+++ b/tests/test_executor.py
@@ -8,9 +8,9 @@
 
 from apricotwalk.admission import AdmissionController, Outcome, Permit
 from apricotwalk.core import CallFailure, ManualClock, Verdict
-from apricotwalk.quarantine import QuarantineBoard
+from apricotwalk.quarantine import CrashWatch, QuarantineBoard
 from apricotwalk.routing import CalleeThresholds
-from apricotwalk.serving import ActiveCalls, Answer, CrashWatch, Executor
+from apricotwalk.serving import ActiveCalls, Answer, Executor
 from apricotwalk.serving import _executor as executor_module
 from apricotwalk.telemetry import Metrics
 from apricotwalk.wire import CallMessage
--- a/tests/test_quarantine.py
+++ b/tests/test_quarantine.py
@@ -7,8 +7,7 @@
 from hypothesis import strategies as st
 
 from apricotwalk.core import CallFailure, ManualClock, Suspect, Verdict
-from apricotwalk.quarantine import QuarantineBoard, fingerprint
-from apricotwalk.serving import CrashWatch
+from apricotwalk.quarantine import CrashWatch, QuarantineBoard, fingerprint
 
 POISON = fingerprint("school", "menu", "POST", "/menu", b"poison")
 INNOCENT = fingerprint("school", "menu", "POST", "/menu", b"fine")
