--- /dev/null
+++ b/tests/test_http1.py
@@ -0,0 +1,182 @@
+"""HTTP connections of callers and of backend servers."""
+
+import asyncio
+
+import pytest
+
+from apricotwalk.core import CallFailure, Verdict
+from apricotwalk.forwarding import BackendPool
+from apricotwalk.http1 import HttpLimits, HttpListener, HttpResponse
+from tests.mesh_fakes import Answer, FakeServer, free_address, read_message
+
+HEAD = b"GET /a HTTP/1.1\r\nHost: mesh\r\n"
+
+
+async def listen(handler=None, **limits):
+    async def echo(request):
+        return HttpResponse(200, b"", request.target.encode() + request.body)
+
+    listener = HttpListener(
+        free_address(), handler or echo, ("Host", "Id"), ("Caller",), needs_host=True
+    )
+    listener.limits = HttpLimits(**{"largest_head_bytes": 512, "largest_body_bytes": 64, **limits})
+    await listener.start()
+    return listener
+
+
+async def connect(listener):
+    address = listener._address
+    return await asyncio.open_connection(address.host, address.port)
+
+
+@pytest.mark.parametrize(
+    ("sent", "status"),
+    [
+        (b"nonsense\r\n\r\n", 400),
+        (b"GET /a HTTP/1.1\r\n\r\n", 400),
+        (HEAD + b"Host: other\r\n\r\n", 400),
+        (HEAD + b"Content-Length: 3\r\nContent-Length: 4\r\n\r\nabcd", 400),
+        (HEAD + b"Content-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n", 400),
+        (HEAD + b"Content-Length: -1\r\n\r\n", 400),
+        (HEAD + b"Bad Name: x\r\n\r\n", 400),
+        (HEAD + b"Long: " + b"x" * 600 + b"\r\n\r\n", 431),
+        (b"GET /" + b"x" * 600 + b" HTTP/1.1\r\nHost: mesh\r\n\r\n", 431),
+        (HEAD + b"Content-Length: 65\r\n\r\n" + b"x" * 65, 413),
+        (HEAD + b"Transfer-Encoding: chunked\r\n\r\n41\r\n" + b"x" * 65 + b"\r\n0\r\n\r\n", 413),
+    ],
+)
+def test_malformed_requests_are_refused_and_the_connection_closes(run, sent, status):
+    async def body():
+        listener = await listen()
+        reader, writer = await connect(listener)
+        writer.write(HEAD + b"\r\n" + sent)
+        assert (await read_message(reader))["target"] == "200"
+        answer = await read_message(reader)
+        assert answer["target"] == str(status)
+        assert answer["fields"]["connection"] == "close"
+        assert await reader.read() == b""
+        await listener.close()
+
+    run(body())
+
+
+def test_bodies_by_length_and_in_chunks_arrive_whole(run):
+    async def body():
+        listener = await listen()
+        reader, writer = await connect(listener)
+        writer.write(b"POST /a HTTP/1.1\r\nHost: mesh\r\nContent-Length: 3\r\n\r\nabc")
+        writer.write(b"POST /b HTTP/1.1\r\nHost: mesh\r\nTransfer-Encoding: chunked\r\n\r\n")
+        writer.write(b"2\r\nde\r\n1\r\nf\r\n0\r\n\r\n")
+        assert (await read_message(reader))["body"] == b"/aabc"
+        assert (await read_message(reader))["body"] == b"/bdef"
+        writer.write(HEAD + b"Connection: close\r\n\r\n")
+        assert (await read_message(reader))["fields"]["connection"] == "close"
+        assert await reader.read() == b""
+        await listener.close()
+
+    run(body())
+
+
+def test_a_caller_that_closes_cancels_its_requests(run):
+    async def body():
+        cancelled = asyncio.Event()
+
+        async def wait(request):
+            try:
+                await asyncio.sleep(30)
+            except asyncio.CancelledError:
+                cancelled.set()
+                raise
+
+        listener = await listen(wait)
+        _, writer = await connect(listener)
+        writer.write(HEAD + b"\r\n")
+        while not listener.is_busy:
+            await asyncio.sleep(0.01)
+        writer.close()
+        await cancelled.wait()
+        await listener.close()
+
+    run(body())
+
+
+def test_slow_heads_and_idle_connections_end(run):
+    async def body():
+        listener = await listen(head_seconds=0.1, idle_seconds=0.1)
+        reader, writer = await connect(listener)
+        writer.write(HEAD)
+        assert (await read_message(reader))["target"] == "408"
+        idle_reader, _ = await connect(listener)
+        assert await idle_reader.read() == b""
+        await listener.close()
+
+    run(body())
+
+
+async def ask(server, request_id="q-1", method="GET"):
+    pool = BackendPool(server.address, "Id", ("Seal", "Refused"))
+    try:
+        return await pool.send(method, "/x", b"Host: mesh\r\n", b"", request_id, False), pool
+    finally:
+        await pool.close()
+
+
+def answer_bytes(fields=b"Content-Length: 2\r\n", body=b"ok", request_id=b"q-1"):
+    return b"HTTP/1.1 200 OK\r\nId: " + request_id + b"\r\n" + fields + b"\r\n" + body
+
+
+@pytest.mark.parametrize(
+    "raw",
+    [
+        b"",
+        b"rubbish that is no answer\r\n\r\n",
+        answer_bytes(body=b"o"),
+        answer_bytes(b"Transfer-Encoding: chunked\r\n", b"2\r\nok\r\n"),
+        answer_bytes(request_id=b"q-0"),
+    ],
+)
+def test_an_answer_that_is_not_whole_may_have_run(run, raw):
+    async def body():
+        server = FakeServer(free_address())
+        await server.start()
+        server.answer = lambda request: Answer(raw=raw, closes=True)
+        with pytest.raises(CallFailure) as caught:
+            await ask(server)
+        assert caught.value.verdict is Verdict.MAY_HAVE_RUN
+        await server.close()
+
+    run(body())
+
+
+@pytest.mark.parametrize(
+    "raw",
+    [
+        answer_bytes(),
+        answer_bytes(b"Transfer-Encoding: chunked\r\n", b"2\r\nok\r\n0\r\n\r\n"),
+        answer_bytes(b""),
+        b"HTTP/1.1 100 Continue\r\n\r\n" + answer_bytes(),
+        answer_bytes(request_id=b"q-0") + answer_bytes(),
+    ],
+)
+def test_whole_answers_are_taken_however_they_end(run, raw):
+    async def body():
+        server = FakeServer(free_address())
+        await server.start()
+        server.answer = lambda request: Answer(raw=raw, closes=raw == answer_bytes(b""))
+        answer, _ = await ask(server)
+        assert (answer.status, answer.body) == (200, b"ok")
+        await server.close()
+
+    run(body())
+
+
+def test_nothing_is_sent_to_a_server_that_does_not_listen(run):
+    async def body():
+        pool = BackendPool(free_address(), "Id", ())
+        with pytest.raises(CallFailure) as caught:
+            await pool.send("GET", "/x", b"", b"", "q-1", False)
+        assert caught.value.verdict is Verdict.NOT_RUN
+        assert not await pool.is_listening()
+        await pool.close()
+
+    run(body())
--- /dev/null
+++ b/tests/test_mesh_decisions.py
@@ -0,0 +1,159 @@
+"""Decisions of a mesh node that take no input or output."""
+
+import json
+import os
+import random
+
+import pytest
+
+from apricotwalk.border import Heartbeat, HeartbeatCall, ServiceShare
+from apricotwalk.core import CallFailure, ManualClock, Verdict
+from apricotwalk.forwarding import BackendRegistry, RepeatAllowance, response_of_failure
+from apricotwalk.routes import RouteTable, ServiceSplitter
+from apricotwalk.telemetry import DecisionLog
+from tests.mesh_fakes import FakePlatform, FakeStore, new_configuration, new_route
+
+
+@pytest.fixture
+def registry():
+    platform = FakePlatform(FakeStore(), "menu", "n-1")
+    log = DecisionLog("n-1", "z", ManualClock(), descriptor=-1)
+    return BackendRegistry(platform.settings, log, ManualClock())
+
+
+def beat(registry, server="s-1", started=100, sequence=1, is_leaving=False, **changes):
+    facts = {
+        "service": registry.settings.service,
+        "address": registry.settings.backend,
+        "slots": 8,
+        "warm_up_seconds": 0.0,
+    }
+    heartbeat = Heartbeat(
+        server=server,
+        started_ms=started,
+        sequence=sequence,
+        is_leaving=is_leaving,
+        **{**facts, **changes},
+    )
+    return HeartbeatCall(server, heartbeat)
+
+
+def test_late_heartbeats_do_not_bring_a_leaving_server_back(registry):
+    registry.take(beat(registry, sequence=1))
+    registry.take(beat(registry, sequence=3, is_leaving=True))
+    registry.take(beat(registry, sequence=2))
+    assert registry.is_leaving
+    registry.take(HeartbeatCall("s-1", None))
+    registry.take(beat(registry, sequence=9))
+    assert registry.is_leaving
+
+
+def test_a_later_start_replaces_an_earlier_one_also_under_its_name(registry):
+    registry.take(beat(registry, started=100, sequence=7))
+    registry.take(beat(registry, started=200, sequence=1, slots=9))
+    assert registry.current.slots == 9
+    registry.take(beat(registry, started=100, sequence=8))
+    assert registry.current.slots == 9
+    registry.take(HeartbeatCall("s-1", None, 100))
+    assert not registry.is_leaving
+    registry.take(beat(registry, server="s-2", started=300))
+    registry.take(HeartbeatCall("s-1", None))
+    assert (registry.current.server, registry.is_leaving) == ("s-2", False)
+
+
+def test_heartbeats_of_other_services_are_no_server(registry):
+    registry.take(beat(registry, service="roster"))
+    assert registry.current is None
+
+
+def test_a_server_found_by_a_health_check_gives_way_to_heartbeats(registry):
+    registry.adopt("s-1", 4)
+    assert registry.current.slots == 4
+    registry.take(beat(registry, is_leaving=True))
+    registry.adopt("s-1", 4)
+    assert registry.is_leaving
+
+
+def test_repeats_of_all_members_stay_within_the_allowance_of_the_service():
+    clock = ManualClock()
+    members = [RepeatAllowance(0.2, 48.0, 10.0, clock) for _ in range(3)]
+    for member in members:
+        member.set_member_count(3)
+    worst = 0
+    taken = []
+    for step in range(400):
+        clock.advance(0.1)
+        now = step * 0.1
+        for member in members:
+            for _ in range(10):
+                member.take_note_of_first()
+            taken += [now for _ in range(10) if member.try_take()]
+        worst = max(worst, sum(1 for at in taken if at > now - 10.0))
+    firsts_in_window = 3 * 10 * 100
+    assert worst <= 0.25 * (0.2 * firsts_in_window + 48.0) + 3
+    assert worst > 100
+
+
+def test_the_longest_prefix_selects_and_ports_and_case_do_not_matter():
+    short = new_route("short", "a", path_prefix="/x/")
+    long = new_route("long", "a", path_prefix="/x/y/")
+    table = RouteTable(new_configuration(1, short, long))
+    assert table.find("mesh", "/x/y/1") is long
+    assert table.find("MESH:8080", "/x/y") is short
+    assert table.find("mesh", "/x/") is short
+    assert table.find("mesh", "/x") is None
+    assert table.find("other", "/x/1") is None
+    assert table.find("mesh", "") is None
+
+
+def test_splits_keep_their_weights_within_one_request():
+    shares = (ServiceShare("a", 70.0), ServiceShare("b", 20.0), ServiceShare("c", 10.0))
+    route = new_route("menu", "a", shares=shares)
+    splitter = ServiceSplitter(random.Random(3))
+    chosen = [splitter.choose(route) for _ in range(500)]
+    for share in shares:
+        assert abs(chosen.count(share.service) - 5 * share.weight) <= 1.5
+    assert all(abs(chosen[:n].count("b") - 0.2 * n) <= 1.5 for n in range(1, 500))
+
+
+@pytest.mark.parametrize(
+    ("verdict", "status", "expected"),
+    [
+        (Verdict.NOT_RUN, 503, 503),
+        (Verdict.NOT_RUN, 504, 503),
+        (Verdict.NOT_RUN, 422, 503),
+        (Verdict.NOT_RUN, 404, 404),
+        (Verdict.MAY_HAVE_RUN, 503, 502),
+        (Verdict.MAY_HAVE_RUN, 404, 502),
+        (Verdict.MAY_HAVE_RUN, 504, 504),
+    ],
+)
+def test_only_what_has_not_run_is_told_so(verdict, status, expected):
+    response = response_of_failure(CallFailure(verdict, "cause", "detail", status))
+    assert response.status == expected
+    assert (b"Retry-After" in response.fields) == (expected == 503)
+
+
+def test_the_log_is_bounded_in_a_burst_and_waits_for_no_reader():
+    reading, writing = os.pipe()
+    os.set_blocking(writing, False)
+    clock = ManualClock()
+    log = DecisionLog("n-1", "z", clock, descriptor=writing)
+    for number in range(20_000):
+        log.decide("request-answered", f"q-{number}", status=200)
+        if number % 100 == 0:
+            clock.advance(0.01)
+            log.flush()
+    log._report_omitted()
+    log.flush()
+    lines = [json.loads(line) for line in os.read(reading, 1 << 20).splitlines()[:-1]]
+    assert 100 < len(lines) < 1000
+    assert {"time", "instance", "zone", "event", "request", "status"} <= set(lines[0])
+    # The pipe is full and nobody reads; memory stays bounded and nothing blocks.
+    for number in range(20_000):
+        log.believe("member-changed", member=f"n-{number}", state="alive")
+        log.flush()
+    assert log._backlog_bytes <= 262_144
+    os.close(reading)
+    log.flush()
+    os.close(writing)
