--- a/apricotwalk/forwarding/_entry.py
+++ b/apricotwalk/forwarding/_entry.py
@@ -21,6 +21,7 @@
 # The node beside the server says at the deadline whether the request ran; its word crosses two
 # zones at most.
 LAST_WORD_SECONDS = 0.02
+FIRST_ERROR = 400
 # Longest time limit that is believed, ten minutes.
 LONGEST_DEADLINE_MS = 600_000.0
 
@@ -64,27 +65,47 @@
     async def answer(self, request: HttpRequest) -> HttpResponse:
         """Return the answer to a caller's request."""
         request_id = request.values_by_name.get(self._request_id, "")
-        route_name = ""
+        outgoing: OutgoingRequest | None = None
+        cause = ""
         try:
-            route = self._find_route(request)
-            route_name = route.name
-            outgoing = self._to_outgoing(request, request_id, route)
-            response, cause, tries = await self._forward(outgoing), "", outgoing.sent_count
+            outgoing = self._to_outgoing(request, request_id, self._find_route(request))
+            response = await self._forward(outgoing)
         except CallFailure as failure:
-            response, cause, tries = response_of_failure(failure), failure.cause, -1
+            response, cause = response_of_failure(failure), failure.cause
+        self._report(request, request_id, outgoing, response.status, cause)
+        return response
+
+    def _report(
+        self,
+        request: HttpRequest,
+        request_id: str,
+        outgoing: OutgoingRequest | None,
+        status: int,
+        cause: str,
+    ) -> None:
         seconds = time.monotonic() - request.arrived
-        self._metrics.count_answer(route_name, response.status, seconds)
+        route = outgoing.route.name if outgoing is not None else ""
+        self._metrics.count_answer(route, status, seconds)
+        facts: dict[str, object] = {}
+        if outgoing is not None:
+            facts = {
+                "service": outgoing.service,
+                "member": outgoing.member,
+                "member_incarnation": outgoing.member_incarnation,
+                "tries": outgoing.sent_count,
+                "redirects": outgoing.redirects,
+            }
         self._log.decide(
             "request-answered",
             request_id,
-            route=route_name,
-            status=response.status,
+            is_routine=status < FIRST_ERROR,
+            route=route,
+            status=status,
             cause=cause,
-            tries=tries,
             ms=round(seconds * 1000, 1),
             configuration=self._configuration.version,
+            **facts,
         )
-        return response
 
     def _find_route(self, request: HttpRequest) -> Route:
         table: RouteTable | None = self._configuration.table
--- a/apricotwalk/forwarding/_forwarder.py
+++ b/apricotwalk/forwarding/_forwarder.py
@@ -58,6 +58,10 @@
         Tries that may have reached a backend server.
     redirects : int
         Tries that were refused before they reached one.
+    member : str
+        Instance that was asked last.
+    member_incarnation : int
+        Version of what was known of it.
     """
 
     request_id: str
@@ -71,6 +75,8 @@
     tried: set[str] = field(default_factory=set)
     sent_count: int = 0
     redirects: int = 0
+    member: str = ""
+    member_incarnation: int = 0
 
 
 class Forwarder:
@@ -152,6 +158,9 @@
             verdict=verdict.value,
             tries=request.sent_count,
             redirects=request.redirects,
+            member=request.member,
+            member_incarnation=request.member_incarnation,
+            remaining_ms=round((request.deadline - self.clock()) * 1000),
             goes_on=may_try,
         )
         return may_try
@@ -174,6 +183,7 @@
     async def _try_once(self, request: OutgoingRequest) -> ReplyMessage:
         member = await self._choose(request)
         request.tried.add(member.instance)
+        request.member, request.member_incarnation = member.instance, member.incarnation
         message = self._to_message(request)
         reply = await self._send(member, message)
         if reply.verdict is not Verdict.NOT_RUN or reply.cause == "backend-refused":
--- a/apricotwalk/telemetry/_decision_log.py
+++ b/apricotwalk/telemetry/_decision_log.py
@@ -67,9 +67,21 @@
         self._report_omitted()
         self.flush()
 
-    def decide(self, kind: str, request_id: str, **facts: object) -> None:
-        """Write a decision on one request, unless the rate is used up."""
-        if not self._take_token():
+    def decide(
+        self, kind: str, request_id: str, *, is_routine: bool = False, **facts: object
+    ) -> None:
+        """Write a decision on one request, unless the rate is used up.
+
+        Parameters
+        ----------
+        kind : str
+            What was decided.
+        request_id : str
+            The caller's try.
+        is_routine : bool
+            Whether nothing went wrong; such lines leave half of a burst to the others.
+        """
+        if not self._take_token(LARGEST_BURST_LINES / 2 if is_routine else 0.0):
             self._omitted_by_kind[kind] = self._omitted_by_kind.get(kind, 0) + 1
             return
         self._add({"event": kind, "request": request_id, **facts})
@@ -111,12 +123,12 @@
         self._lines.append(line)
         self._backlog_bytes += len(line)
 
-    def _take_token(self) -> bool:
+    def _take_token(self, kept_back: float) -> bool:
         now = self._clock.monotonic()
         gained = (now - self._refilled) * LINES_PER_SECOND
         self._tokens = min(LARGEST_BURST_LINES, self._tokens + gained)
         self._refilled = now
-        if self._tokens < 1.0:
+        if self._tokens < kept_back + 1.0:
             return False
         self._tokens -= 1.0
         return True
