--- a/apricotwalk/meshnode/_node.py
+++ b/apricotwalk/meshnode/_node.py
@@ -190,6 +190,7 @@
         self.settings = settings
         self.registry.settings = settings
         self.pool.address = settings.backend
+        self._forwarder.caller_service = settings.service
         self.log.believe("settings-reloaded", changed=True, service=settings.service)
 
     @property
@@ -222,7 +223,9 @@
             self.log,
             self.settings.service,
         )
-        entry = Entry(self.configuration, self._splitter, forwarder, fields, self.log, self.metrics)
+        entry = Entry(
+            self.configuration, self._splitter, self._forwarder, fields, self.log, self.metrics
+        )
         return HttpListener(
             self.settings.callers,
             entry.answer,
