--- a/apricotwalk/meshnode/_node.py
+++ b/apricotwalk/meshnode/_node.py
@@ -214,7 +214,7 @@
     def _build_caller_listener(self) -> HttpListener:
         fields = self._platform.fields
         selector = TargetSelector(self.settings.availability_zone, self._random, self._clock)
-        forwarder = Forwarder(
+        self._forwarder = Forwarder(
             self.members,
             selector,
             self.links,
--- a/tests/test_mesh_path.py
+++ b/tests/test_mesh_path.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from contextlib import asynccontextmanager
+from dataclasses import replace
 
 from apricotwalk.core import Execution
 from apricotwalk.meshnode import MeshNode
@@ -267,3 +268,17 @@
                 return statuses
 
     run(body())
+
+
+def test_reloaded_settings_name_the_service_of_new_requests(run):
+    async def body():
+        async with mesh_of(("m1", "menu-svc"), ("d1", "dispatch-svc")) as mesh:
+            node = mesh.nodes["m1"]
+            node._platform.settings = replace(node.settings, service="roster-svc")
+            node.reload()
+            caller = await mesh.caller("m1")
+            assert (await caller.ask("/dispatch/1", method="POST", body=b"x"))[0] == 200
+            assert mesh.servers["d1"].requests[0]["fields"]["caller"] == "roster-svc"
+            caller.close()
+
+    run(body())
