Notice connections gone silent within the bounds, and keep all log lines bounded

Change: the configuration is read with a wait of 0.6 of its bound; connections to the server have keepalive and an acknowledgement limit (the product's own, now shared), and a request out of time drops the idle ones. Lines of loguru go through the bounded writer.

--- a/apricotwalk/daemon/mesh.py
+++ b/apricotwalk/daemon/mesh.py
@@ -2,8 +2,10 @@
 
 import argparse
 import asyncio
+import functools
 import signal
 import sys
+from typing import Any
 
 import uvloop
 from loguru import logger
@@ -11,6 +13,7 @@
 from apricotwalk.core import SettingsError
 from apricotwalk.meshnode import MeshNode
 from apricotwalk.platform import UsersPlatform, open_platform
+from apricotwalk.telemetry import DecisionLog
 
 __all__ = ["main"]
 
@@ -32,7 +35,6 @@
         print(f"{platform.settings.instance}: ok")
         return
     logger.remove()
-    logger.add(sys.stdout, level="INFO", serialize=True, backtrace=False, diagnose=False)
     try:
         with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
             runner.run(_run(platform))
@@ -45,6 +47,7 @@
     stop = asyncio.Event()
     loop = asyncio.get_running_loop()
     node = MeshNode(platform)
+    logger.add(functools.partial(_log, node.log), level="INFO", format="{message}")
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, stop.set)
     loop.add_signal_handler(signal.SIGHUP, node.reload)
@@ -54,5 +57,15 @@
     await node.close()
 
 
+def _log(log: DecisionLog, message: Any) -> None:
+    """Write a line of a library or of a supervised loop through the bounded log."""
+    record = message.record
+    facts = {"level": record["level"].name.lower(), **record["extra"]}
+    if record["exception"] is not None:
+        facts["exception"] = repr(record["exception"].value)
+        facts["traceback"] = str(message)
+    log.believe(record["message"], **facts)
+
+
 if __name__ == "__main__":
     main()
--- a/apricotwalk/fleet/_follower.py
+++ b/apricotwalk/fleet/_follower.py
@@ -10,9 +10,6 @@
 
 __all__ = ["RecordTaker", "StreamFollower"]
 
-# A read that waits returns as soon as there is a record.  A connection gone silent is noticed
-# after this time; until then peers tell of newer versions.
-READ_WAIT_SECONDS = 5.0
 FIRST_RETRY_SECONDS = 0.1
 # A store that is back after an outage is asked again within the two seconds that operators allow.
 LONGEST_RETRY_SECONDS = 1.0
@@ -46,6 +43,9 @@
         Receives the loss and the return of the store.
     generator : random.Random
         Spreads the attempts of many nodes.
+    wait_seconds : float
+        Time for which a read waits for a record, and so the time after which a connection gone
+        silent is noticed.
     """
 
     def __init__(
@@ -55,7 +55,9 @@
         taker: RecordTaker,
         log: DecisionLog,
         generator: random.Random,
+        wait_seconds: float,
     ) -> None:
+        self._wait_seconds = wait_seconds
         self._name = name
         self._stream = stream
         self._taker = taker
@@ -96,7 +98,7 @@
             page = await self._stream.newest()
             self._taker.take_snapshot(page.records)
         else:
-            page = await self._stream.read(self._offset, READ_WAIT_SECONDS)
+            page = await self._stream.read(self._offset, self._wait_seconds)
             for record in page.records:
                 self._taker.take_record(record)
         self._offset = page.next_offset
--- a/apricotwalk/forwarding/_backend_pool.py
+++ b/apricotwalk/forwarding/_backend_pool.py
@@ -6,7 +6,13 @@
 from collections import deque
 
 from apricotwalk.core import CallFailure, Service, Verdict
-from apricotwalk.http1 import ServerAnswer, ServerConnection, ServerConnectionLost, encode_request
+from apricotwalk.http1 import (
+    ServerAnswer,
+    ServerConnection,
+    ServerConnectionLost,
+    encode_request,
+    watch_transport,
+)
 from apricotwalk.settings import Address
 
 __all__ = ["BackendPool"]
@@ -134,6 +140,7 @@
         handle = transport.get_extra_info("socket")
         if handle is not None:
             handle.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+            watch_transport(handle)
         self._open.add(connection)
         return connection
 
--- a/apricotwalk/forwarding/_server_side.py
+++ b/apricotwalk/forwarding/_server_side.py
@@ -155,6 +155,7 @@
             return answer
         except TimeoutError as error:
             outcome = Outcome.TIMED_OUT
+            self._pool.drop_idle()  # they may have gone silent too
             raise CallFailure(
                 Verdict.MAY_HAVE_RUN, "deadline-passed", "deadline passed while it ran", 504
             ) from error
--- a/apricotwalk/http1/__init__.py
+++ b/apricotwalk/http1/__init__.py
@@ -16,6 +16,7 @@
     HttpResponse,
     text_response,
 )
+from apricotwalk.http1._silence import watch_transport
 
 __all__ = [
     "HttpLimits",
@@ -29,4 +30,5 @@
     "encode_request",
     "encode_response",
     "text_response",
+    "watch_transport",
 ]
--- /dev/null
+++ b/apricotwalk/http1/_silence.py
@@ -0,0 +1,19 @@
+"""Detection of connections that no longer carry anything, by the operating system."""
+
+import socket
+
+__all__ = ["watch_transport"]
+
+# A server on the same machine acknowledges within a millisecond while it lives.
+KEEPALIVE_SECONDS = 1
+KEEPALIVE_PROBES = 2
+ACKNOWLEDGE_MS = 1500
+
+
+def watch_transport(transport: socket.socket) -> None:
+    """Have the system close a connection whose other end no longer acknowledges."""
+    transport.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
+    transport.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, KEEPALIVE_SECONDS)
+    transport.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, KEEPALIVE_SECONDS)
+    transport.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, KEEPALIVE_PROBES)
+    transport.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, ACKNOWLEDGE_MS)
--- a/apricotwalk/meshnode/_node.py
+++ b/apricotwalk/meshnode/_node.py
@@ -48,6 +48,11 @@
 UNUSED_MECHANISMS = (Mechanism.EARLY_SHEDDING, Mechanism.FAIR_SHARES)
 # Requests of one kind can be alike, and several servers can crash by other causes while they run.
 CRASH_LIMIT = 3
+# All connections may go silent at once, and then no peer knows better; the rest of the bound is
+# for the answer that does not come and for the next read.
+CONFIGURATION_WAIT_SHARE = 0.6
+# A stale view of members costs a hop, so their stream is read less often.
+MEMBERS_WAIT_SECONDS = 5.0
 MICROSECONDS_PER_SECOND = 1_000_000
 # Two questions for readiness, one second apart, have to find the node not ready before callers
 # stay away.
@@ -241,13 +246,28 @@
 
     def _add_services(self) -> None:
         platform, settings = self._platform, self.settings
-        follow = (
-            ("configuration", platform.open_configuration(), self.configuration),
-            ("members", platform.open_members(), self.members),
-        )
+        configuration_wait = CONFIGURATION_WAIT_SHARE * settings.bounds.configuration_seconds
         self._supervisor.add(self.log)
-        for name, stream, taker in follow:
-            self._supervisor.add(StreamFollower(name, stream, taker, self.log, self._random))
+        self._supervisor.add(
+            StreamFollower(
+                "configuration",
+                platform.open_configuration(),
+                self.configuration,
+                self.log,
+                self._random,
+                configuration_wait,
+            )
+        )
+        self._supervisor.add(
+            StreamFollower(
+                "members",
+                platform.open_members(),
+                self.members,
+                self.log,
+                self._random,
+                MEMBERS_WAIT_SECONDS,
+            )
+        )
         self._supervisor.add(self.members)
         self._supervisor.add(self.links)
         self._supervisor.add(self.pool)
--- a/apricotwalk/platform/_store.py
+++ b/apricotwalk/platform/_store.py
@@ -21,6 +21,9 @@
 # A call takes 4 ms; half of the time in which a configuration has to be in force.
 REQUEST_TIMEOUT_SECONDS = 1.0
 CONNECT_TIMEOUT_SECONDS = 0.5
+# A read that finds nothing is answered this much after its wait at the latest; a slow store
+# takes sixty times its usual 4 ms.
+LATE_ANSWER_SECONDS = 0.6
 # The store answers with a megabyte at most, and one record may exceed that by its own size.
 LARGEST_ANSWER_BYTES = 4 * 1024 * 1024
 LARGEST_CALL_COUNT = 16
@@ -131,7 +134,7 @@
     async def read(self, offset: int, wait_seconds: float) -> StreamPage:
         """Return the records from `offset` on; see `KeyedStream.read`."""
         path = f"/api/log-read?{self._place}&from={offset}&wait-ms={wait_seconds * 1000:.0f}"
-        timeout = wait_seconds + REQUEST_TIMEOUT_SECONDS
+        timeout = wait_seconds + LATE_ANSWER_SECONDS
         body = await self._client.fetch("GET", path, None, timeout)
         records, count = _decode_records(body)
         return StreamPage(tuple(records), offset + count)
--- a/apricotwalk/serving/_backend.py
+++ b/apricotwalk/serving/_backend.py
@@ -19,6 +19,7 @@
     Service,
     Verdict,
 )
+from apricotwalk.http1 import watch_transport
 from apricotwalk.serving._answers import Answer
 from apricotwalk.serving._headers import (
     VERDICT_HEADER,
@@ -33,9 +34,6 @@
 
 CONNECT_TIMEOUT_SECONDS = 0.5
 IDLE_LIMIT_SECONDS = 5.0
-KEEPALIVE_SECONDS = 1
-KEEPALIVE_PROBES = 2
-ACKNOWLEDGE_MS = 1500
 SERVICE_UNAVAILABLE = 503
 NO_HEADERS = HTTPHeaders()
 
@@ -229,12 +227,7 @@
         """Have the system close a connection whose other end no longer acknowledges."""
         if not self._switches.is_on(Mechanism.SILENCE_DETECTION):
             return
-        transport = stream.socket
-        transport.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
-        transport.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, KEEPALIVE_SECONDS)
-        transport.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, KEEPALIVE_SECONDS)
-        transport.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, KEEPALIVE_PROBES)
-        transport.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, ACKNOWLEDGE_MS)
+        watch_transport(stream.socket)
 
     def _judge(self, collector: _ResponseCollector) -> Answer:
         is_whole = collector.is_complete and collector.has_bounded_body()
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -123,7 +123,7 @@
         stream = FakeStream()
         versions = [new_configuration(n, new_route("menu", "menu-svc")) for n in range(1, 6)]
         holder = holder_of(*versions)
-        follower = StreamFollower("c", stream, holder, quiet_log(), random.Random(1))
+        follower = StreamFollower("c", stream, holder, quiet_log(), random.Random(1), 1.0)
         stream.add(KeyedRecord("config", b"1"))
         await follower.start()
         await in_force(holder, 1)
