--- a/apricotwalk/fleet/_follower.py
+++ b/apricotwalk/fleet/_follower.py
@@ -1,19 +1,15 @@
 """Following of a keyed stream through outages of the store."""
 
-import asyncio
 import random
 from abc import ABC, abstractmethod
 
 from apricotwalk.border import HistoryLostError, KeyedRecord, KeyedStream, StoreError
 from apricotwalk.core import Service, Supervisor
+from apricotwalk.fleet._pause import StorePause
 from apricotwalk.telemetry import DecisionLog
 
 __all__ = ["RecordTaker", "StreamFollower"]
 
-FIRST_RETRY_SECONDS = 0.1
-# A store that is back after an outage is asked again within the two seconds that operators allow.
-LONGEST_RETRY_SECONDS = 1.0
-
 
 class RecordTaker(ABC):
     """Takes the records of a stream."""
@@ -62,10 +58,9 @@
         self._stream = stream
         self._taker = taker
         self._log = log
-        self._random = generator
         self._offset: int | None = None
         self._is_lost = False
-        self._pause = FIRST_RETRY_SECONDS
+        self._pause = StorePause(generator)
         self._supervisor = Supervisor(f"follower of {name}")
 
     @property
@@ -107,11 +102,10 @@
         if not self._is_lost:
             self._is_lost = True
             self._log.believe("store-lost", stream=self._name, detail=str(error))
-        await asyncio.sleep(self._pause * self._random.uniform(0.7, 1.3))
-        self._pause = min(LONGEST_RETRY_SECONDS, self._pause * 2)
+        await self._pause.wait()
 
     def _take_note_of_answer(self) -> None:
-        self._pause = FIRST_RETRY_SECONDS
+        self._pause.reset()
         if self._is_lost:
             self._is_lost = False
             self._log.believe("store-regained", stream=self._name)
--- a/apricotwalk/fleet/_members.py
+++ b/apricotwalk/fleet/_members.py
@@ -11,15 +11,12 @@
 from apricotwalk.border import KeyedRecord, KeyedStream, StoreError
 from apricotwalk.core import Clock, Service, Supervisor
 from apricotwalk.fleet._follower import RecordTaker
-from apricotwalk.membership import Member, MemberState
-from apricotwalk.membership._table import MemberTable
+from apricotwalk.fleet._pause import StorePause
+from apricotwalk.membership import Member, MemberState, MemberTable
 from apricotwalk.telemetry import DecisionLog
 
 __all__ = ["FleetMembers"]
 
-FIRST_RETRY_SECONDS = 0.1
-# A record that was lost or refused is back within the two seconds that operators allow.
-LONGEST_RETRY_SECONDS = 1.0
 MICROSECONDS_PER_SECOND = 1_000_000
 
 _encoder = msgspec.msgpack.Encoder()
@@ -194,16 +191,15 @@
         self.own_changed(self.own)
 
     async def _keep_written(self) -> None:
-        pause = FIRST_RETRY_SECONDS
+        pause = StorePause(self._random)
         while True:
             await self._is_unwritten.wait()
             self._is_unwritten.clear()
             own = self.own
             try:
                 await self._stream.put(KeyedRecord(own.instance, _encoder.encode(own)))
-                pause = FIRST_RETRY_SECONDS
+                pause.reset()
             except StoreError as error:
                 self._log.believe("own-record-unwritten", detail=str(error))
                 self._is_unwritten.set()
-                await asyncio.sleep(pause * self._random.uniform(0.7, 1.3))
-                pause = min(LONGEST_RETRY_SECONDS, pause * 2)
+                await pause.wait()
--- a/apricotwalk/forwarding/_entry.py
+++ b/apricotwalk/forwarding/_entry.py
@@ -6,8 +6,8 @@
 from apricotwalk.border import FieldNames, Route
 from apricotwalk.core import CallFailure, Verdict
 from apricotwalk.fleet import ConfigurationHolder
+from apricotwalk.forwarding._deadlines import to_loop_time
 from apricotwalk.forwarding._forwarder import Forwarder, OutgoingRequest
-from apricotwalk.forwarding._server_side import _loop_time
 from apricotwalk.forwarding._statuses import response_of_failure
 from apricotwalk.http1 import HttpRequest, HttpResponse
 from apricotwalk.metrics import MeshMetrics
@@ -157,7 +157,7 @@
 
     async def _forward(self, outgoing: OutgoingRequest) -> HttpResponse:
         try:
-            async with asyncio.timeout_at(_loop_time(outgoing.deadline + LAST_WORD_SECONDS)):
+            async with asyncio.timeout_at(to_loop_time(outgoing.deadline + LAST_WORD_SECONDS)):
                 reply = await self._forwarder.forward(outgoing)
         except TimeoutError as error:
             raise CallFailure(
--- a/apricotwalk/forwarding/_server_side.py
+++ b/apricotwalk/forwarding/_server_side.py
@@ -8,6 +8,7 @@
 from apricotwalk.core import CallFailure, Verdict
 from apricotwalk.forwarding._backend_pool import BackendPool
 from apricotwalk.forwarding._backend_registry import BackendRegistry, KnownServer
+from apricotwalk.forwarding._deadlines import to_loop_time
 from apricotwalk.forwarding._repeat_allowance import RepeatAllowance
 from apricotwalk.http1 import ServerAnswer, encode_field
 from apricotwalk.metrics import MeshMetrics
@@ -148,7 +149,7 @@
         outcome = Outcome.FAILED
         began = time.monotonic()
         try:
-            async with asyncio.timeout_at(_loop_time(deadline)):
+            async with asyncio.timeout_at(to_loop_time(deadline)):
                 answer = await self._exchange(message, known, deadline)
             outcome = Outcome.SUCCEEDED if answer.status < SERVER_ERROR else Outcome.FAILED
             self._metrics.time_server_side(time.monotonic() - began)
@@ -226,11 +227,6 @@
             self.reported_load = (running + waiting) / max(1, slots)
 
 
-def _loop_time(deadline: float) -> float:
-    """Return a monotonic time on the clock of the event loop."""
-    return asyncio.get_running_loop().time() + (deadline - time.monotonic())
-
-
 def _to_work_item(message: ForwardMessage, deadline: float) -> WorkItem:
     return WorkItem(
         customer="",
--- a/apricotwalk/forwarding/_statuses.py
+++ b/apricotwalk/forwarding/_statuses.py
@@ -1,13 +1,12 @@
 """HTTP statuses of requests that got no answer of a backend server."""
 
+from http import HTTPStatus
+
 from apricotwalk.core import CallFailure, Verdict
 from apricotwalk.http1 import HttpResponse, encode_field
 
 __all__ = ["response_of_failure"]
 
-SERVICE_UNAVAILABLE = 503
-BAD_GATEWAY = 502
-GATEWAY_TIMEOUT = 504
 # Requests that cannot succeed as they are; a caller that came back would be refused again.
 HOPELESS_STATUSES = frozenset({400, 404, 413, 431})
 # Room is usually back within a fraction of a second; a caller that returns sooner finds none.
@@ -29,7 +28,11 @@
     if failure.verdict is Verdict.NOT_RUN:
         seconds = failure.retry_after or DEFAULT_RETRY_AFTER_SECONDS
         return HttpResponse(
-            SERVICE_UNAVAILABLE, cause + encode_field("Retry-After", f"{seconds:.2f}"), body
+            HTTPStatus.SERVICE_UNAVAILABLE,
+            cause + encode_field("Retry-After", f"{seconds:.2f}"),
+            body,
         )
-    status = GATEWAY_TIMEOUT if failure.status == GATEWAY_TIMEOUT else BAD_GATEWAY
+    status = HTTPStatus.BAD_GATEWAY
+    if failure.status == HTTPStatus.GATEWAY_TIMEOUT:
+        status = HTTPStatus.GATEWAY_TIMEOUT
     return HttpResponse(status, cause, body)
--- a/apricotwalk/http1/_listener.py
+++ b/apricotwalk/http1/_listener.py
@@ -20,9 +20,8 @@
 LARGEST_PIPELINE = 32
 # Callers that open connections while the event loop is busy; a full queue costs them seconds.
 BACKLOG = 1024
+# Limits are given in whole seconds, so half a second of lateness does not matter.
 SWEEP_SECONDS = 0.5
-# The other end still reads what was written before the close.
-LINGER_SECONDS = 1.0
 BAD_REQUEST = 400
 TIMEOUT = 408
 BODY_TOO_LARGE = 413
--- a/apricotwalk/meshnode/_ports.py
+++ b/apricotwalk/meshnode/_ports.py
@@ -1,6 +1,7 @@
 """The listeners for readiness, heartbeats and metrics."""
 
 from collections.abc import Callable
+from http import HTTPStatus
 
 from apricotwalk.border import HeartbeatReader
 from apricotwalk.core import WireError
@@ -11,10 +12,6 @@
 
 __all__ = ["HeartbeatPort", "MetricsPort", "ReadinessPort"]
 
-OK = 200
-BAD_REQUEST = 400
-NOT_FOUND = 404
-UNAVAILABLE = 503
 JSON = "application/json"
 
 
@@ -44,11 +41,11 @@
             call = self._reader.read(request.method, request.target, request.body)
         except WireError as error:
             self._log.believe("heartbeat-rejected", detail=str(error))
-            return text_response(BAD_REQUEST, f"{error}\n")
+            return text_response(HTTPStatus.BAD_REQUEST, f"{error}\n")
         if call is None:
-            return text_response(NOT_FOUND, "no call of a backend server\n")
+            return text_response(HTTPStatus.NOT_FOUND, "no call of a backend server\n")
         self._registry.take(call)
-        return text_response(OK, "{}", JSON)
+        return text_response(HTTPStatus.OK, "{}", JSON)
 
 
 class ReadinessPort:
@@ -69,10 +66,10 @@
     async def answer(self, request: HttpRequest) -> HttpResponse:
         """Return 200 or 503."""
         if request.target.partition("?")[0] != self._path:
-            return text_response(NOT_FOUND, "unknown path\n")
+            return text_response(HTTPStatus.NOT_FOUND, "unknown path\n")
         if self._is_ready():
-            return text_response(OK, "ready\n")
-        return text_response(UNAVAILABLE, "not ready\n")
+            return text_response(HTTPStatus.OK, "ready\n")
+        return text_response(HTTPStatus.SERVICE_UNAVAILABLE, "not ready\n")
 
 
 class MetricsPort:
@@ -93,4 +90,6 @@
     async def answer(self, request: HttpRequest) -> HttpResponse:
         """Return every metric."""
         self._refresh()
-        return text_response(OK, self._metrics.text().decode(), "text/plain; version=0.0.4")
+        return text_response(
+            HTTPStatus.OK, self._metrics.text().decode(), "text/plain; version=0.0.4"
+        )
