--- a/tests/mesh_fakes.py
+++ b/tests/mesh_fakes.py
@@ -210,8 +210,12 @@
         for writer in list(self._writers):
             writer.transport.abort()
 
-    def bodies(self):
-        return [request["body"] for request in self.requests]
+    def crash(self):
+        """Stop listening and break off every connection."""
+        self._listener.close()
+        for writer in list(self._writers):
+            writer.transport.abort()
+        return Answer(raw=b"", closes=True)
 
     async def _serve(self, reader, writer):
         self._writers.add(writer)
--- a/tests/test_mesh_path.py
+++ b/tests/test_mesh_path.py
@@ -297,3 +297,27 @@
             caller.close()
 
     run(body())
+
+
+def test_a_request_that_crashes_servers_reaches_three_of_them(run):
+    async def body():
+        places = [(f"m{number}", "menu-svc") for number in range(1, 6)]
+        async with mesh_of(*places, retry_allowance=4e4) as mesh:
+            for server in mesh.servers.values():
+                server.answer = lambda request, server=server: (
+                    server.crash() if request["target"] == "/menu/poison" else Answer()
+                )
+            for place in ("m4", "m5", "m4", "m5"):
+                caller = await mesh.caller(place)
+                status, _, _ = await caller.ask("/menu/poison")
+                assert status in (502, 503)
+                caller.close()
+            crashed = [
+                request["target"] for server in mesh.servers.values() for request in server.requests
+            ]
+            assert crashed == ["/menu/poison"] * 3
+            caller = await mesh.caller("m5")
+            assert (await caller.ask("/menu/other"))[0] == 200
+            caller.close()
+
+    run(body())
