Tell every node beside the same service which requests crash servers

Change: the node beside a crashed server tells each node of its service, opening a connection if needed. The test waits until all know the same crashes; its bound of three is unchanged. Ruled out: the crash not being recognized; the log shows five reports.

--- a/apricotwalk/meshnode/_node.py
+++ b/apricotwalk/meshnode/_node.py
@@ -127,6 +127,7 @@
         self._peer_listener = PeerListener(settings.peers, self._peers)
         self._callers = self._build_caller_listener()
         self.is_stopping = False
+        self._tellings: set[asyncio.Task[None]] = set()
         self._supervisor = Supervisor("mesh node")
         self._add_services()
 
@@ -294,10 +295,23 @@
             self.members.announce(MemberState.ALIVE, "the backend server is ready")
 
     def _spread_suspects(self, service: str) -> None:
+        """Tell the nodes beside servers of the same service, which refuse what is quarantined."""
         suspects = self.board.suspects()
         self.log.believe("server-crashed", service=service, suspects=len(suspects))
-        self.links.tell_all(SuspectsMessage(suspects))
-        self._peer_listener.tell_all(SuspectsMessage(suspects))
+        for member in self.members.known():
+            if member.service == service and member.instance != self.settings.instance:
+                telling = asyncio.get_running_loop().create_task(
+                    self._tell_suspects(member, SuspectsMessage(suspects))
+                )
+                self._tellings.add(telling)
+                telling.add_done_callback(self._tellings.discard)
+
+    async def _tell_suspects(self, member: Member, message: SuspectsMessage) -> None:
+        try:
+            await self.links.tell(member.address, message)
+        except CallFailure as failure:
+            # What it would have refused is told again with each request and reply.
+            self.log.believe("suspects-untold", member=member.instance, detail=str(failure))
 
     def _tell_own(self, own: Member) -> None:
         self.links.own = own
--- a/tests/test_mesh_path.py
+++ b/tests/test_mesh_path.py
@@ -312,6 +312,8 @@
                 status, _, _ = await caller.ask("/menu/poison")
                 assert status in (502, 503)
                 caller.close()
+                while len(crashes_known_to(mesh)) > 1:
+                    await asyncio.sleep(0.01)
             crashed = [
                 request["target"] for server in mesh.servers.values() for request in server.requests
             ]
@@ -320,4 +322,11 @@
             assert (await caller.ask("/menu/other"))[0] == 200
             caller.close()
 
+    def crashes_known_to(mesh):
+        """Return the different sets of crashes that nodes know of."""
+        return {
+            tuple(crash for suspect in node.board.suspects() for crash in suspect.crashes)
+            for node in mesh.nodes.values()
+        }
+
     run(body())
