--- a/apricotwalk/admission/_concurrency_limit.py
+++ b/apricotwalk/admission/_concurrency_limit.py
@@ -1,5 +1,6 @@
 """How much the backend server may run at once, found from its latency."""
 
+import math
 import statistics
 from abc import ABC, abstractmethod
 
@@ -14,6 +15,8 @@
 SATURATED_SHARE = 0.8
 LEAST_LIMIT_TO_TRY = 4
 SHORTEST_SECONDS = 1e-6
+# Servers on the users' platform that slow down do so from this share of their slots on.
+NEARLY_FULL_SHARE = 0.95
 
 
 class Limit(ABC):
@@ -34,10 +37,13 @@
 
 
 class AnnouncedLimit(Limit):
-    """The slots that the backend server announces.
+    """The slots that the backend server announces, less the last ones.
 
     Notes
     -----
+    Servers may slow down when they are nearly full, and all work that runs slows with them.
+    The last twentieth of the slots adds less than that costs.
+
     It answers servers whose work differs in length by an order of magnitude: there the least
     latency says nothing of the usual one, and a limit that follows it sinks without cause.  Such
     a server runs its slots at full speed and queues the rest, so its slots are the limit.
@@ -48,8 +54,8 @@
 
     @property
     def value(self) -> int:
-        """The announced slots."""
-        return self._slots
+        """The most work for which the server is not nearly full."""
+        return max(1, math.ceil(NEARLY_FULL_SHARE * self._slots) - 1)
 
     def set_slots(self, slots: int) -> None:
         """Follow the server's word."""
