--- a/apricotwalk/admission/_interface.py
+++ b/apricotwalk/admission/_interface.py
@@ -106,10 +106,6 @@
     def in_flight(self) -> int:
         """Return the number of permits that are out."""
 
-    def pressure(self) -> float:
-        """Return the slots that arriving and waiting work needs, over the slots there are."""
-        return self.load()
-
     def admitted_level(self) -> int:
         """Return the highest level that is admitted at present."""
         return HIGHEST_LEVEL
--- a/apricotwalk/admission/_rank_queue.py
+++ b/apricotwalk/admission/_rank_queue.py
@@ -13,7 +13,6 @@
     WorkItem,
 )
 from apricotwalk.admission._levels import HIGHEST_LEVEL
-from apricotwalk.admission._pressure import PressureMeter
 from apricotwalk.admission._service_times import ServiceTimes
 from apricotwalk.admission._shares import FairShares
 from apricotwalk.admission._waiting import WaitingWork, WaitingWorks
@@ -116,7 +115,6 @@
         self._demand = DemandByLevel(DEMAND_MEMORY_SECONDS)
         self._shares = FairShares(FLOOR_MEMORY_SECONDS)
         self._waiting = WaitingWorks()
-        self._meter = PressureMeter()
         self._patience = FIRST_PATIENCE_SECONDS
         self._permits = 0
         self._occupied = 0
@@ -127,7 +125,6 @@
         """Wait for a slot; see `AdmissionController.acquire`."""
         now = self.clock.monotonic()
         cost = self._times.own(item.route)
-        self._meter.add(cost, now)
         if self._has_levels:
             self._take_note_of_demand(item, cost, now)
         if self._is_hopeless(item, now) and not self._times.take_probe(item.route, now):
@@ -150,11 +147,6 @@
         """Return work in flight and waiting over the limit."""
         return (self._occupied + len(self._waiting)) / self._limit.value
 
-    def pressure(self) -> float:
-        """Return demand over capacity; see `AdmissionController.pressure`."""
-        backlog = sum(self._waiting.cost_by_rank().values())
-        return self._meter.pressure(self._limit.value, backlog, self.clock.monotonic())
-
     def in_flight(self) -> int:
         """Return the number of permits that are out."""
         return self._permits
--- a/apricotwalk/forwarding/_entry.py
+++ b/apricotwalk/forwarding/_entry.py
@@ -12,7 +12,6 @@
 from apricotwalk.http1 import HttpRequest, HttpResponse
 from apricotwalk.metrics import MeshMetrics
 from apricotwalk.routes import RouteTable, ServiceSplitter
-from apricotwalk.routing import ChainGate, FailureCauses
 from apricotwalk.telemetry import DecisionLog
 
 __all__ = ["Entry"]
@@ -38,12 +37,6 @@
         Chooses the service.
     forwarder : Forwarder
         Gets requests answered.
-    gate : ChainGate
-        Refuses requests of callers whose chains have no room.
-    failure_causes : FailureCauses
-        Receives the refused calls of the backend server beside the node.
-    server_host : str
-        Network address from which that server calls.
     fields : FieldNames
         Names of header fields.
     log : DecisionLog
@@ -57,9 +50,6 @@
         configuration: ConfigurationHolder,
         splitter: ServiceSplitter,
         forwarder: Forwarder,
-        gate: ChainGate,
-        failure_causes: FailureCauses,
-        server_host: str,
         fields: FieldNames,
         log: DecisionLog,
         metrics: MeshMetrics,
@@ -67,9 +57,6 @@
         self._configuration = configuration
         self._splitter = splitter
         self._forwarder = forwarder
-        self._gate = gate
-        self._failure_causes = failure_causes
-        self._server_host = server_host
         self._request_id = fields.request_id.lower().encode()
         self._deadline = fields.deadline_ms.lower().encode()
         self._log = log
@@ -81,33 +68,13 @@
         outgoing: OutgoingRequest | None = None
         cause = ""
         try:
-            route = self._find_route(request)
-            outgoing = self._to_outgoing(request, request_id, route)
-            if not self._is_call(request):
-                self._gate.require(route.name, route.rank, time.monotonic())
+            outgoing = self._to_outgoing(request, request_id, self._find_route(request))
             response = await self._forward(outgoing)
         except CallFailure as failure:
             response, cause = response_of_failure(failure), failure.cause
-        self._take_note_of_overload(request, outgoing)
         self._report(request, request_id, outgoing, response.status, cause)
         return response
 
-    def _is_call(self, request: HttpRequest) -> bool:
-        """Return whether the backend server beside this node sent the request."""
-        return request.source == self._server_host
-
-    def _take_note_of_overload(
-        self, request: HttpRequest, outgoing: OutgoingRequest | None
-    ) -> None:
-        """Pass on why a request failed: to the caller's chain, or to this node's own gate."""
-        if outgoing is None or not outgoing.overloaded:
-            return
-        now = time.monotonic()
-        if self._is_call(request):
-            self._failure_causes.take_note_of_refusal(outgoing.overloaded, now)
-        elif outgoing.overloaded != outgoing.service:
-            self._gate.blame(outgoing.route.name, outgoing.overloaded, now)
-
     def _report(
         self,
         request: HttpRequest,
@@ -128,8 +95,6 @@
                 "tries": outgoing.sent_count,
                 "redirects": outgoing.redirects,
             }
-            if outgoing.overloaded:
-                facts["overloaded"] = outgoing.overloaded
         self._log.decide(
             "request-answered",
             request_id,
--- a/apricotwalk/forwarding/_forwarder.py
+++ b/apricotwalk/forwarding/_forwarder.py
@@ -13,7 +13,7 @@
 from apricotwalk.peering import ForwardMessage, PeerLinks, ReplyMessage
 from apricotwalk.quarantine import QuarantineBoard
 from apricotwalk.retries import SystemicFailures
-from apricotwalk.routing import ServicePressures, TargetSelector
+from apricotwalk.routing import TargetSelector
 from apricotwalk.telemetry import DecisionLog
 
 __all__ = ["Forwarder", "OutgoingRequest"]
@@ -65,8 +65,6 @@
         Instance that was asked last.
     member_incarnation : int
         Version of what was known of it.
-    overloaded : str
-        Service that had no room, where that is why the last try failed.
     """
 
     request_id: str
@@ -82,7 +80,6 @@
     redirects: int = 0
     member: str = ""
     member_incarnation: int = 0
-    overloaded: str = ""
 
 
 class Forwarder:
@@ -100,8 +97,6 @@
         Runs requests for which this node itself is chosen.
     board : QuarantineBoard
         Requests that crash backend servers; what is known travels with requests and replies.
-    pressures : ServicePressures
-        What replies say of the demand on services.
     log : DecisionLog
         Receives each further try.
     caller_service : str
@@ -115,7 +110,6 @@
         links: PeerLinks,
         server_side: ServerSide,
         board: QuarantineBoard,
-        pressures: ServicePressures,
         log: DecisionLog,
         caller_service: str,
     ) -> None:
@@ -124,7 +118,6 @@
         self._links = links
         self._server_side = server_side
         self._board = board
-        self._pressures = pressures
         self._log = log
         self.caller_service = caller_service
         self.failures = SystemicFailures()
@@ -204,7 +197,6 @@
         request.member, request.member_incarnation = member.instance, member.incarnation
         message = self._to_message(request)
         reply = await self._send(member, message)
-        request.overloaded = reply.overloaded
         if reply.verdict is not Verdict.NOT_RUN or reply.cause == "backend-refused":
             request.sent_count += 1
         if reply.verdict is Verdict.COMPLETED:
@@ -274,6 +266,5 @@
             self._selector.abandoned(member.instance)
             raise
         self._board.merge(reply.suspects)
-        self._pressures.merge(reply.pressures, self.clock())
         self._selector.answered(member.instance, message.route, reply, self.clock() - began)
         return reply
--- a/apricotwalk/forwarding/_server_side.py
+++ b/apricotwalk/forwarding/_server_side.py
@@ -14,7 +14,6 @@
 from apricotwalk.metrics import MeshMetrics
 from apricotwalk.peering import ForwardMessage, ReplyMessage
 from apricotwalk.quarantine import CrashWatch, fingerprint
-from apricotwalk.routing import FailureCauses, ServicePressures
 from apricotwalk.telemetry import DecisionLog
 
 __all__ = ["ServerSide"]
@@ -26,11 +25,6 @@
 REDIRECTION = 300
 SERVER_ERROR = 500
 MISDIRECTED = 421
-# Causes of refusals for want of room, where demand is at least as high as the capacity.
-NO_ROOM_CAUSES = frozenset({"shed", "deadline-passed"})
-FULL_PRESSURE = 1.0
-# Replies within this time carry the same pressures; the meter itself remembers ten times as long.
-PRESSURE_CACHE_SECONDS = 0.05
 
 
 class ServerSide:
@@ -48,10 +42,6 @@
         Bounds repeats.
     crash_watch : CrashWatch
         Tells which request crashed the server.
-    failure_causes : FailureCauses
-        Tells which failures of the server come from calls that were refused.
-    pressures : ServicePressures
-        Demand on services, told with each reply.
     fields : FieldNames
         Names of header fields.
     log : DecisionLog
@@ -67,8 +57,6 @@
         admission: AdmissionController,
         allowance: RepeatAllowance,
         crash_watch: CrashWatch,
-        failure_causes: FailureCauses,
-        pressures: ServicePressures,
         fields: FieldNames,
         log: DecisionLog,
         metrics: "MeshMetrics",
@@ -78,10 +66,6 @@
         self._admission = admission
         self._allowance = allowance
         self._crash_watch = crash_watch
-        self._failure_causes = failure_causes
-        self._pressures = pressures
-        self._told_pressures: dict[str, float] = {}
-        self._told_until = 0.0
         self._fields = fields
         self._signature = fields.signature.lower().encode()
         self._not_run = fields.not_run.lower().encode()
@@ -116,8 +100,6 @@
                 reported_load=self.reported_load,
                 suspects=self._crash_watch.board.suspects(),
                 retry_after=failure.retry_after or 0.0,
-                overloaded=self._overloaded_by(failure),
-                pressures=self._pressures_to_tell(),
             )
         self._metrics.count_server_side("completed")
         return ReplyMessage(
@@ -129,32 +111,8 @@
             answer.body,
             self._admission.load(),
             self.reported_load,
-            overloaded=self._explain(answer),
-            pressures=self._pressures_to_tell(),
         )
 
-    def _overloaded_by(self, failure: CallFailure) -> str:
-        """Return this node's service if the request was refused because it has no room."""
-        is_refusal = failure.verdict is Verdict.NOT_RUN and failure.cause in NO_ROOM_CAUSES
-        if is_refusal and self._admission.pressure() >= FULL_PRESSURE:
-            return self._registry.settings.service
-        return ""
-
-    def _explain(self, answer: ServerAnswer) -> str:
-        if answer.status < SERVER_ERROR:
-            return ""
-        return self._failure_causes.explain(time.monotonic())
-
-    def _pressures_to_tell(self) -> dict[str, float]:
-        """Return what is known of the demand on services, this one's included."""
-        now = time.monotonic()
-        if now >= self._told_until:
-            self._told_until = now + PRESSURE_CACHE_SECONDS
-            own = {self._registry.settings.service: self._admission.pressure()}
-            self._pressures.merge(own, now)
-            self._told_pressures = self._pressures.recent(now)
-        return self._told_pressures
-
     async def _run(self, message: ForwardMessage) -> ServerAnswer:
         deadline = time.monotonic() + message.remaining_ms / 1000
         if message.service != self._registry.settings.service:
--- a/apricotwalk/http1/_listener.py
+++ b/apricotwalk/http1/_listener.py
@@ -47,7 +47,6 @@
     def __init__(self, owner: "HttpListener") -> None:
         self._owner = owner
         self._transport: asyncio.Transport | None = None
-        self._source = ""
         self._parser = httptools.HttpRequestParser(self)
         self._exchanges: deque[_Exchange] = deque()
         self._is_closing = False
@@ -70,7 +69,6 @@
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self._transport = cast(asyncio.Transport, transport)
-        self._source = str((transport.get_extra_info("peername") or ("",))[0])
         self._owner.connections.add(self)
 
     def connection_lost(self, error: Exception | None) -> None:
@@ -146,7 +144,6 @@
             values_by_name=self._values,
             body=b"".join(self._body),
             arrived=self._arrived,
-            source=self._source,
         )
         self._body = []
         self.head_since = 0.0
--- a/apricotwalk/http1/_messages.py
+++ b/apricotwalk/http1/_messages.py
@@ -43,8 +43,6 @@
         Whole body.
     arrived : float
         Monotonic time at which its head began to arrive.
-    source : str
-        Network address of the caller, without the port.
     """
 
     method: str
@@ -53,7 +51,6 @@
     values_by_name: dict[bytes, str]
     body: bytes
     arrived: float
-    source: str = ""
 
 
 @dataclass(slots=True)
--- a/apricotwalk/meshnode/_node.py
+++ b/apricotwalk/meshnode/_node.py
@@ -39,7 +39,7 @@
 )
 from apricotwalk.quarantine import CrashWatch, QuarantineBoard
 from apricotwalk.routes import ServiceSplitter
-from apricotwalk.routing import ChainGate, FailureCauses, ServicePressures, TargetSelector
+from apricotwalk.routing import TargetSelector
 from apricotwalk.telemetry import DecisionLog
 
 __all__ = ["MeshNode"]
@@ -110,9 +110,6 @@
             ),
         )
         self.board = QuarantineBoard(self._clock, CRASH_LIMIT)
-        self._pressures = ServicePressures()
-        self._gate = ChainGate(self._pressures)
-        self._failure_causes = FailureCauses()
         crash_watch = CrashWatch(settings.instance, self.board, self._spread_suspects)
         self.server_side = ServerSide(
             self.registry,
@@ -120,8 +117,6 @@
             self.admission,
             self.allowance,
             crash_watch,
-            self._failure_causes,
-            self._pressures,
             platform.fields,
             self.log,
             self.metrics,
@@ -231,20 +226,11 @@
             self.links,
             self.server_side,
             self.board,
-            self._pressures,
             self.log,
             self.settings.service,
         )
         entry = Entry(
-            self.configuration,
-            self._splitter,
-            self._forwarder,
-            self._gate,
-            self._failure_causes,
-            self.settings.backend.host,
-            fields,
-            self.log,
-            self.metrics,
+            self.configuration, self._splitter, self._forwarder, fields, self.log, self.metrics
         )
         return HttpListener(
             self.settings.callers,
@@ -342,9 +328,7 @@
             limits.idle_seconds,
         )
         self._splitter.forget_others(configuration.routes)
-        routes = {route.name for route in configuration.routes}
-        self._forwarder.failures.forget_others(routes)
-        self._gate.forget_others(routes)
+        self._forwarder.failures.forget_others({route.name for route in configuration.routes})
 
     def _refresh_gauges(self) -> None:
         self.metrics.configuration_version.set(self.configuration.version)
--- a/apricotwalk/peering/_messages.py
+++ b/apricotwalk/peering/_messages.py
@@ -131,10 +131,6 @@
         Requests that the answering node suspects of crashing servers.
     retry_after : float
         Seconds after which a further try is sensible, 0 if nothing is known.
-    overloaded : str
-        Service that had no room, where that is why the request failed.
-    pressures : dict of str to float
-        Demand over capacity of the services that the answering node knows of.
     """
 
     call: int
@@ -147,8 +143,6 @@
     reported_load: float = 0.0
     suspects: list[Suspect] = []
     retry_after: float = 0.0
-    overloaded: str = ""
-    pressures: dict[str, float] = {}
 
 
 class CancelMessage(Struct, frozen=True, array_like=True, tag=6):
