--- a/apricotwalk/routing/_selector.py
+++ b/apricotwalk/routing/_selector.py
@@ -52,8 +52,6 @@
         Source of monotonic time.
     disabled : collection of Mechanism
         Mechanisms that are switched off for a proof.
-    room_load : float
-        Load up to which a near member is preferred to a cheaper one in another zone.
 
     Notes
     -----
@@ -74,10 +72,8 @@
         generator: random.Random,
         clock: Clock,
         disabled: Collection[Mechanism] = (),
-        room_load: float = ROOM_LOAD,
     ) -> None:
         self._availability_zone = availability_zone
-        self._room_load = room_load
         self._random = generator
         self._clock = clock
         self._has_slow_start = Mechanism.SLOW_START not in disabled
@@ -166,8 +162,8 @@
             return False
         statistics = self._statistics(member.instance)
         if not self._has_own_measurements:
-            return statistics.reported_load < self._room_load
-        has_room = statistics.current_load(now) < self._room_load
+            return statistics.reported_load < ROOM_LOAD
+        has_room = statistics.current_load(now) < ROOM_LOAD
         has_room = has_room and statistics.silence_seconds(now) < ROOM_SILENCE_SECONDS
         return has_room and statistics.current_slowness(now) < ROOM_SLOWNESS
 
--- /dev/null
+++ b/tests/test_announced_limit.py
@@ -0,0 +1,56 @@
+"""Replays a surge on a server that slows down when it is nearly full."""
+
+import heapq
+import random
+
+import pytest
+
+from apricotwalk.admission import AnnouncedLimit
+
+# Of the narrowest service of the users' mesh in Lisbon, where a surge asks for half more.
+SLOTS = 19
+WORK_SECONDS = 0.04
+SLOWDOWN = 1.3
+SLOWS_FROM_SHARE = 0.95
+SURGE_SECONDS = 20.0
+SURGE_RATE = 1.5 * SLOTS / WORK_SECONDS
+
+
+def completed_in_surge(limit, seed):
+    """Return how much work completes while more is asked for than fits."""
+    chance = random.Random(seed)
+    now, waiting, completed = 0.0, 0, 0
+    ends = []
+    next_arrival = 0.0
+    while now < SURGE_SECONDS:
+        if not ends or next_arrival <= ends[0]:
+            now = next_arrival
+            waiting += 1
+            next_arrival += chance.expovariate(SURGE_RATE)
+        else:
+            now = heapq.heappop(ends)
+            completed += 1
+        while waiting and len(ends) < limit:
+            waiting -= 1
+            is_nearly_full = len(ends) + 1 >= SLOWS_FROM_SHARE * SLOTS
+            slowdown = SLOWDOWN if is_nearly_full else 1.0
+            seconds = chance.lognormvariate(0.0, 0.5) * WORK_SECONDS * slowdown
+            heapq.heappush(ends, now + seconds)
+    return completed
+
+
+@pytest.mark.parametrize("seed", [1, 2, 3])
+def test_a_server_that_slows_when_nearly_full_completes_more_below_that(seed):
+    limit = AnnouncedLimit()
+    limit.set_slots(SLOTS)
+    kept_free = completed_in_surge(limit.value, seed)
+    filled = completed_in_surge(SLOTS, seed)
+    assert kept_free >= 1.15 * filled
+
+
+@pytest.mark.parametrize(("slots", "expected"), [(1, 1), (2, 1), (8, 7), (19, 18), (152, 144)])
+def test_at_most_a_twentieth_of_the_slots_and_one_are_kept_free(slots, expected):
+    limit = AnnouncedLimit()
+    limit.set_slots(slots)
+    assert limit.value == expected
+    assert limit.value >= slots - slots / 20 - 1
