--- a/apricotwalk/fleet/__init__.py
+++ b/apricotwalk/fleet/__init__.py
@@ -3,5 +3,6 @@
 from apricotwalk.fleet._configuration import ConfigurationHolder
 from apricotwalk.fleet._follower import StreamFollower
 from apricotwalk.fleet._members import FleetMembers
+from apricotwalk.fleet._reading_schedule import ReadingSchedule
 
-__all__ = ["ConfigurationHolder", "FleetMembers", "StreamFollower"]
+__all__ = ["ConfigurationHolder", "FleetMembers", "ReadingSchedule", "StreamFollower"]
--- a/apricotwalk/fleet/_configuration.py
+++ b/apricotwalk/fleet/_configuration.py
@@ -53,20 +53,19 @@
         """Return for how many seconds the version has been in force."""
         return self._clock.monotonic() - self.in_force_since
 
-    def take_record(self, record: KeyedRecord) -> None:
-        """Take a record of the store."""
-        if record.value is not None:
-            self.take(record.key, record.value, "store")
+    def take_record(self, record: KeyedRecord) -> bool:
+        """Take a record of the store; see `RecordTaker.take_record`."""
+        return record.value is not None and self.take(record.key, record.value, "store")
 
-    def take(self, key: str, value: bytes, source: str) -> None:
+    def take(self, key: str, value: bytes, source: str) -> bool:
         """Put a configuration in force if it is newer than the present one."""
         try:
             configuration = self._read(key, value)
         except RecordError as error:
             self._log.believe("configuration-rejected", source=source, detail=str(error))
-            return
+            return False
         if configuration is None or configuration.version <= self.version:
-            return
+            return False
         former = self.version
         self.table = RouteTable(configuration)
         self.key = key
@@ -79,3 +78,4 @@
             routes=len(configuration.routes),
         )
         self.changed(configuration)
+        return True
--- a/apricotwalk/fleet/_follower.py
+++ b/apricotwalk/fleet/_follower.py
@@ -1,11 +1,13 @@
 """Following of a keyed stream through outages of the store."""
 
+import asyncio
 import random
 from abc import ABC, abstractmethod
 
 from apricotwalk.border import HistoryLostError, KeyedRecord, KeyedStream, StoreError
 from apricotwalk.core import Service, Supervisor
 from apricotwalk.fleet._pause import StorePause
+from apricotwalk.fleet._reading_schedule import ReadingSchedule
 from apricotwalk.telemetry import DecisionLog
 
 __all__ = ["RecordTaker", "StreamFollower"]
@@ -15,13 +17,12 @@
     """Takes the records of a stream."""
 
     @abstractmethod
-    def take_record(self, record: KeyedRecord) -> None:
-        """Take a record; must not raise for a malformed one."""
+    def take_record(self, record: KeyedRecord) -> bool:
+        """Take a record and return whether it was news; must not raise for a malformed one."""
 
-    def take_snapshot(self, records: tuple[KeyedRecord, ...]) -> None:
-        """Take the newest record of each key."""
-        for record in records:
-            self.take_record(record)
+    def take_snapshot(self, records: tuple[KeyedRecord, ...]) -> bool:
+        """Take the newest record of each key and return whether any was news."""
+        return any([self.take_record(record) for record in records])
 
 
 class StreamFollower(Service):
@@ -39,9 +40,8 @@
         Receives the loss and the return of the store.
     generator : random.Random
         Spreads the attempts of many nodes.
-    wait_seconds : float
-        Time for which a read waits for a record, and so the time after which a connection gone
-        silent is noticed.
+    schedule : ReadingSchedule
+        Decides when to read and how long to wait for records.
     """
 
     def __init__(
@@ -51,14 +51,16 @@
         taker: RecordTaker,
         log: DecisionLog,
         generator: random.Random,
-        wait_seconds: float,
+        schedule: ReadingSchedule,
     ) -> None:
-        self._wait_seconds = wait_seconds
+        self._schedule = schedule
         self._name = name
         self._stream = stream
         self._taker = taker
         self._log = log
         self._offset: int | None = None
+        self._had_records = False
+        self._had_news = False
         self._is_lost = False
         self._pause = StorePause(generator)
         self._supervisor = Supervisor(f"follower of {name}")
@@ -91,18 +93,22 @@
     async def _read_once(self) -> None:
         if self._offset is None:
             page = await self._stream.newest()
-            self._taker.take_snapshot(page.records)
+            self._had_news = self._taker.take_snapshot(page.records)
         else:
-            page = await self._stream.read(self._offset, self._wait_seconds)
-            for record in page.records:
-                self._taker.take_record(record)
+            pause, wait = self._schedule.next_read(self._had_records, self._had_news)
+            await asyncio.sleep(pause)
+            page = await self._stream.read(self._offset, wait)
+            self._had_news = any([self._taker.take_record(record) for record in page.records])
+        self._had_records = bool(page.records)
         self._offset = page.next_offset
 
     async def _take_note_of_loss(self, error: StoreError) -> None:
         if not self._is_lost:
             self._is_lost = True
             self._log.believe("store-lost", stream=self._name, detail=str(error))
-        await self._pause.wait()
+        self._had_records = self._had_news = False
+        if self._offset is None or self._schedule.is_reader():
+            await self._pause.wait()
 
     def _take_note_of_answer(self) -> None:
         self._pause.reset()
--- a/apricotwalk/fleet/_members.py
+++ b/apricotwalk/fleet/_members.py
@@ -66,6 +66,7 @@
         self._is_unwritten = asyncio.Event()
         self._supervisor = Supervisor("fleet members")
         self.own_changed: Callable[[Member], None] = lambda member: None
+        self.heard: Callable[[Member], None] = lambda member: None
 
     async def start(self) -> None:
         """Begin to keep this node's record in the directory."""
@@ -101,24 +102,24 @@
             return
         self._write_own(state, reason)
 
-    def take_record(self, record: KeyedRecord) -> None:
-        """Take a record of the directory."""
+    def take_record(self, record: KeyedRecord) -> bool:
+        """Take a record of the directory; see `RecordTaker.take_record`."""
         if record.value is None:
-            self._take_drop(record.key)
-            return
+            return self._take_drop(record.key)
         try:
             member = _decoder.decode(record.value)
         except (msgspec.MsgspecError, ValueError) as error:
             self._log.believe("member-record-rejected", key=record.key, detail=str(error))
-            return
-        self.take(member, "store")
+            return False
+        return self.take(member, "store")
 
-    def take_snapshot(self, records: tuple[KeyedRecord, ...]) -> None:
+    def take_snapshot(self, records: tuple[KeyedRecord, ...]) -> bool:
         """Take the whole directory; a record of this node that is missing is written again."""
-        super().take_snapshot(records)
+        had_news = super().take_snapshot(records)
         own = self._members_by_instance.get(self.own.instance)
         if own is not None and self.own.instance not in {record.key for record in records}:
             self._is_unwritten.set()
+        return had_news
 
     def take(self, member: Member, source: str) -> bool:
         """Take a record if it is newer than the one held; return whether it was."""
@@ -137,6 +138,7 @@
             incarnation=member.incarnation,
             source=source,
         )
+        self.heard(member)
         return True
 
     def _hold(self, member: Member, known: Member | None) -> None:
@@ -168,16 +170,19 @@
             if own.instance in self._members_by_instance:
                 self._write_own(own.state, "an older record of this node was newer")
 
-    def _take_drop(self, instance: str) -> None:
+    def _take_drop(self, instance: str) -> bool:
+        """Forget a member whose record is gone, and return whether it was known."""
         if instance == self.own.instance:
             if instance in self._members_by_instance:
                 self._is_unwritten.set()
-            return
+            return False
         member = self._members_by_instance.pop(instance, None)
-        if member is not None:
-            self._tables_by_service[member.service].forget(instance)
-            self._digest = None
-            self._log.believe("member-dropped", member=instance)
+        if member is None:
+            return False
+        self._tables_by_service[member.service].forget(instance)
+        self._digest = None
+        self._log.believe("member-dropped", member=instance)
+        return True
 
     def _write_own(self, state: MemberState, reason: str) -> None:
         known = self._members_by_instance.get(self.own.instance)
--- a/apricotwalk/meshnode/_node.py
+++ b/apricotwalk/meshnode/_node.py
@@ -15,7 +15,12 @@
     Supervisor,
     SystemClock,
 )
-from apricotwalk.fleet import ConfigurationHolder, FleetMembers, StreamFollower
+from apricotwalk.fleet import (
+    ConfigurationHolder,
+    FleetMembers,
+    ReadingSchedule,
+    StreamFollower,
+)
 from apricotwalk.forwarding import (
     BackendPool,
     BackendRegistry,
@@ -53,6 +58,11 @@
 CONFIGURATION_WAIT_SHARE = 0.6
 # A stale view of members costs a hop, so their stream is read less often.
 MEMBERS_WAIT_SECONDS = 5.0
+# Each node passes a change on so often once, the first time that it hears of it: a change then
+# reaches all but one in fifty nodes, which learn it from the digests in pings.
+CHANGE_FANOUT = 4
+# A version is announced by a ping, which costs less than the version itself.
+VERSION_FANOUT = 8
 MICROSECONDS_PER_SECOND = 1_000_000
 # Two questions for readiness, one second apart, have to find the node not ready before callers
 # stay away.
@@ -140,6 +150,7 @@
         """Start every service."""
         self.registry.changed = self._take_server_change
         self.members.own_changed = self._tell_own
+        self.members.heard = self._pass_on
         self.configuration.changed = self._take_configuration
         await self._supervisor.start()
         self._supervisor.run_loop("probe", self._probe_backend)
@@ -256,7 +267,7 @@
                 self.configuration,
                 self.log,
                 self._random,
-                configuration_wait,
+                self._build_schedule(configuration_wait),
             )
         )
         self._supervisor.add(
@@ -266,7 +277,7 @@
                 self.members,
                 self.log,
                 self._random,
-                MEMBERS_WAIT_SECONDS,
+                self._build_schedule(MEMBERS_WAIT_SECONDS),
             )
         )
         self._supervisor.add(self.members)
@@ -281,6 +292,20 @@
         self._supervisor.add(self._callers)
         self._supervisor.add(HttpListener(settings.readiness, readiness.answer))
 
+    def _build_schedule(self, wait_seconds: float) -> ReadingSchedule:
+        return ReadingSchedule(
+            self.settings.instance, self._live_members, wait_seconds, self._random
+        )
+
+    def _live_members(self) -> list[Member]:
+        """Return this node and the members that neither say that they end nor are unreachable."""
+        return [
+            member
+            for member in self.members.known()
+            if member.instance == self.settings.instance
+            or (member.state is MemberState.ALIVE and self.links.is_reachable(member.address))
+        ]
+
     def _take_server_change(self) -> None:
         registry = self.registry
         if registry.current is not None:
@@ -319,7 +344,12 @@
         self.links.tell_all(message)
         self._peer_listener.tell_all(message)
 
+    def _pass_on(self, member: Member) -> None:
+        """Tell a few peers of a change that this node has just heard of."""
+        self.links.tell_some(MembersMessage([member]), CHANGE_FANOUT)
+
     def _take_configuration(self, configuration: RouteConfiguration) -> None:
+        self.links.ping_some(VERSION_FANOUT)
         limits = configuration.limits
         self._callers.limits = HttpLimits(
             limits.largest_head_bytes,
--- a/apricotwalk/meshnode/_peers.py
+++ b/apricotwalk/meshnode/_peers.py
@@ -21,8 +21,10 @@
 
 __all__ = ["MeshPeerHandler"]
 
-# Nodes differ while a change spreads; whole lists are exchanged no more often than this.
+# Nodes differ while a change spreads.  Whole lists are exchanged no more often than this, and
+# less often the longer they are, because single changes are passed on anyway.
 EXCHANGE_SECONDS = 0.5
+EXCHANGE_SECONDS_PER_MEMBER = 0.03
 
 
 class MeshPeerHandler(PeerHandler):
@@ -61,7 +63,8 @@
         if members_digest == self._members.digest():
             return
         now = time.monotonic()
-        if now - self._exchanged >= EXCHANGE_SECONDS:
+        longest_list = EXCHANGE_SECONDS_PER_MEMBER * len(self._members.known())
+        if now - self._exchanged >= max(EXCHANGE_SECONDS, longest_list):
             self._exchanged = now
             send(MembersRequest())
 
--- a/apricotwalk/peering/_links.py
+++ b/apricotwalk/peering/_links.py
@@ -183,6 +183,21 @@
         for link in self._links_by_address.values():
             link.send(message)
 
+    def tell_some(self, message: PeerMessage, count: int) -> None:
+        """Send a message on so many open connections, chosen at random."""
+        for link in self._some(count):
+            link.send(message)
+
+    def ping_some(self, count: int) -> None:
+        """Tell the beliefs of this node on so many open connections, chosen at random."""
+        beliefs = self._handler.beliefs()
+        for link in self._some(count):
+            link.ping(*beliefs)
+
+    def _some(self, count: int) -> list[_Link]:
+        links = [link for link in self._links_by_address.values() if link.takes_calls]
+        return self._random.sample(links, min(count, len(links)))
+
     async def tell(self, address: Address, message: PeerMessage) -> None:
         """Send a message to one peer, opening a connection if needed.
 
--- /dev/null
+++ b/apricotwalk_lab/soak/__main__.py
@@ -0,0 +1,52 @@
+"""Plays seeds: ``python -m apricotwalk_lab.soak --seed 1 --count 50 --jobs 2``."""
+
+import argparse
+import asyncio
+import json
+import logging
+import sys
+from dataclasses import asdict
+from pathlib import Path
+
+from apricotwalk_lab.soak._plan import draw_plan
+from apricotwalk_lab.soak._run import SoakReport, run_soak
+
+
+def main() -> int:
+    """Print a JSON line a seed and a count; return 1 if any promise was broken."""
+    parser = argparse.ArgumentParser(prog="soak", description=__doc__)
+    parser.add_argument("--seed", type=int, default=1, help="first seed")
+    parser.add_argument("--count", type=int, default=10, help="number of seeds")
+    parser.add_argument("--nodes", type=int, default=8, help="nodes of a run")
+    parser.add_argument("--jobs", type=int, default=1, help="runs at the same time")
+    parser.add_argument("--out", type=Path, default=Path("out/soak"), help="output of the nodes")
+    arguments = parser.parse_args()
+    seeds = range(arguments.seed, arguments.seed + arguments.count)
+    directories_by_seed = {seed: arguments.out / f"seed-{seed}" for seed in seeds}
+    for directory in directories_by_seed.values():
+        directory.mkdir(parents=True, exist_ok=True)
+    reports = asyncio.run(_play(directories_by_seed, arguments.nodes, arguments.jobs))
+    red = [report.seed for report in reports if report.broken]
+    print(f"{len(reports) - len(red)} passed, {len(red)} failed; red seeds: {red}")
+    return 1 if red else 0
+
+
+async def _play(
+    directories_by_seed: dict[int, Path], node_count: int, jobs: int
+) -> list[SoakReport]:
+    turns = asyncio.Semaphore(jobs)
+    # Callers and nodes that leave in the middle of a call are part of every run.
+    logging.getLogger("tornado.access").setLevel(logging.CRITICAL)
+
+    async def play_one(seed: int) -> SoakReport:
+        async with turns:
+            plan = draw_plan(seed, node_count)
+            report = await run_soak(plan, directories_by_seed[seed])
+        print(json.dumps(asdict(report)), flush=True)
+        return report
+
+    return await asyncio.gather(*(play_one(seed) for seed in directories_by_seed))
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/apricotwalk_lab/soak/_pages.py
@@ -0,0 +1,120 @@
+"""Formats of the users' platform that the stand-ins of a soak speak."""
+
+import hashlib
+
+import msgspec
+
+from apricotwalk.platform._names import CONFIGURATION_KEY, FIELD_NAMES, HEARTBEAT_PREFIX
+
+__all__ = [
+    "CONFIGURATION_KEY",
+    "FIELD_NAMES",
+    "HEALTH_PATH",
+    "HEARTBEAT_PREFIX",
+    "HOST",
+    "configuration",
+    "heartbeat",
+    "seal",
+    "settings_text",
+]
+
+HOST = "mesh.example"
+HEALTH_PATH = "/health"
+CALLER_PORT = 8304
+PEER_PORT = 7620
+
+# Bounds of the users' site files.
+DRAIN_SECONDS = 2.0
+CONFIGURATION_SECONDS = 2.0
+RETRY_RATIO = 0.2
+RETRY_ALLOWANCE = 49
+RETRY_WINDOW_SECONDS = 10.0
+STOP_SECONDS = 6.0
+
+
+def settings_text(name: str, host: str, service: str, zone: str) -> str:
+    """Return the settings file of a node."""
+    fields = {
+        "node": name,
+        "ip": host,
+        "zone": zone,
+        "region": "region",
+        "listen.inbound": f"{host}:8300",
+        "listen.outbound": f"{host}:{CALLER_PORT}",
+        "listen.ready": f"{host}:8302",
+        "listen.control": f"{host}:8306",
+        "internal-ports": f"{PEER_PORT},{PEER_PORT + 15}",
+        "seeds": "",
+        "heartbeat-interval": "500ms",
+        "bounds.drain-period": f"{DRAIN_SECONDS}s",
+        "bounds.grace-period": f"{STOP_SECONDS}s",
+        "bounds.config-propagation": f"{CONFIGURATION_SECONDS}s",
+        "bounds.budget-ratio": RETRY_RATIO,
+        "bounds.budget-window": f"{RETRY_WINDOW_SECONDS}s",
+        "bounds.budget-slack": RETRY_ALLOWANCE,
+        "app-addr": f"{host}:8301",
+        "service": service,
+        "platform.address": f"{host}:8309",
+    }
+    return "".join(f"{key}={value}\n" for key, value in fields.items())
+
+
+def configuration(version: int, services: set[str]) -> bytes:
+    """Return a version; besides the usual routes it has one that is named after it."""
+    routes = {
+        "menu": _route("menu", "safe", 1, 2),
+        "dispatch": _route("dispatch", "unsafe", 2, 2),
+        "pupil": _route("pupil", "safe", 0, 2),
+    }
+    for known in (version - 1, version):
+        routes[f"v{known}"] = {**_route("menu", "safe", 1, 2), "path-prefix": f"/v{known}/"}
+    return msgspec.json.encode(
+        {
+            "version": f"r{version}",
+            "routes": routes,
+            "services": {
+                name: {"health-path": HEALTH_PATH, "max-connections": 200} for name in services
+            },
+            "limits": {
+                "max-header-bytes": 16384,
+                "max-body-bytes": 1 << 20,
+                "header-timeout": "3000ms",
+                "idle-timeout": "15000ms",
+            },
+        }
+    )
+
+
+def _route(service: str, kind: str, priority: int, most: int) -> dict[str, object]:
+    return {
+        "host": HOST,
+        "path-prefix": f"/{service}/",
+        "kind": kind,
+        "timeout": "1500ms",
+        "aim": "500ms",
+        "priority": priority,
+        "service": service,
+        "max-attempts": most,
+    }
+
+
+def heartbeat(service: str, address: str, slots: int, state: str, seq: int, born: int) -> bytes:
+    """Return the body of a status report."""
+    return msgspec.json.encode(
+        {
+            "service": service,
+            "address": address,
+            "zone": "z",
+            "version": "v1",
+            "slots": slots,
+            "state": state,
+            "cold-remaining": "0ms",
+            "seq": seq,
+            "born": born,
+        }
+    )
+
+
+def seal(server: str, request_id: str, body: bytes) -> str:
+    """Return the signature of an answer."""
+    return hashlib.sha256(f"{server} {request_id} ".encode() + body).hexdigest()[:16]
--- /dev/null
+++ b/apricotwalk_lab/soak/_store.py
@@ -0,0 +1,162 @@
+"""A stand-in of the platform's store: keyed topics over HTTP, with faults."""
+
+import asyncio
+import base64
+import struct
+from collections import defaultdict
+
+from tornado.httpserver import HTTPServer
+from tornado.web import Application, RequestHandler
+
+from apricotwalk.core import Service
+
+__all__ = ["StoreStandIn"]
+
+_LENGTH = struct.Struct(">I")
+_OFFSETS = struct.Struct(">QQ")
+# An append whose answer is lost may take effect so much later.
+LATE_APPEND_SECONDS = 1.0
+PAGE_ITEMS = 500
+GONE = 410
+UNAVAILABLE = 503
+
+
+class _Topic:
+    def __init__(self) -> None:
+        self.records: list[bytes] = []
+        self.first = 0
+        self.changed = asyncio.Event()
+
+    def append(self, records: list[bytes]) -> int:
+        offset = len(self.records)
+        self.records += records
+        self.changed.set()
+        self.changed = asyncio.Event()
+        return offset
+
+    def newest_by_key(self) -> dict[str, tuple[int, bytes]]:
+        newest: dict[str, tuple[int, bytes]] = {}
+        for offset, record in enumerate(self.records):
+            key = record[1 : 1 + record[0]].decode()
+            newest[key] = (offset, record[1 + record[0] :])
+        return {key: row for key, row in newest.items() if row[1]}
+
+
+class StoreStandIn(Service):
+    """The store of one run.
+
+    Parameters
+    ----------
+    host : str
+        Address to listen on.
+    port : int
+        Port to listen on.
+    """
+
+    def __init__(self, host: str, port: int) -> None:
+        self._host, self._port = host, port
+        self._topics: dict[str, _Topic] = defaultdict(_Topic)
+        self._server: HTTPServer | None = None
+        self.is_down = False
+        self.delay_seconds = 0.0
+        self.loses_answers = False
+
+    async def start(self) -> None:
+        """Begin to listen."""
+        calls = [(r"/api/log-(append|read|newest)", _Call, {"store": self})]
+        self._server = HTTPServer(Application(calls))
+        self._server.listen(self._port, self._host)
+
+    async def close(self) -> None:
+        """Stop."""
+        if self._server is not None:
+            self._server.stop()
+            await self._server.close_all_connections()
+            self._server = None
+
+    def forget(self) -> None:
+        """Drop the history; the newest record of each key stays."""
+        for topic in self._topics.values():
+            topic.first = len(topic.records)
+
+    def put(self, topic: str, key: str, value: bytes) -> None:
+        """Append a record as the operator does."""
+        encoded = key.encode()
+        self._topics[topic].append([bytes([len(encoded)]) + encoded + value])
+
+    def topic(self, name: str) -> _Topic:
+        """Return a topic, which exists from its first use on."""
+        return self._topics[name]
+
+
+class _Call(RequestHandler):
+    def initialize(self, store: StoreStandIn) -> None:
+        self._store = store
+
+    async def get(self, call: str) -> None:
+        if not await self._is_served():
+            return
+        topic = self._store.topic(self.get_argument("topic"))
+        if call == "newest":
+            self._answer_newest(topic)
+            return
+        offset = int(self.get_argument("from"))
+        if offset < topic.first:
+            self.set_status(GONE)
+            self.finish({"first": topic.first})
+            return
+        if offset >= len(topic.records):
+            await self._wait_for_records(topic)
+        body = _OFFSETS.pack(len(topic.records), topic.first)
+        for record in topic.records[offset:]:
+            body += _LENGTH.pack(len(record)) + record
+        self.finish(body)
+
+    async def post(self, call: str) -> None:
+        if not await self._is_served():
+            return
+        topic = self._store.topic(self.get_argument("topic"))
+        records = _split(self.request.body)
+        if self._store.loses_answers:
+            await asyncio.sleep(LATE_APPEND_SECONDS)
+            topic.append(records)
+            self.request.connection.stream.close()  # type: ignore[union-attr]
+            return
+        offset = topic.append(records)
+        self.finish({"offset": offset, "end": len(topic.records)})
+
+    async def _is_served(self) -> bool:
+        await asyncio.sleep(self._store.delay_seconds)
+        if self._store.is_down:
+            self.set_status(UNAVAILABLE)
+            self.finish()
+            return False
+        return True
+
+    async def _wait_for_records(self, topic: _Topic) -> None:
+        wait = float(self.get_argument("wait-ms", "0")) / 1000
+        try:
+            async with asyncio.timeout(wait):
+                await topic.changed.wait()
+        except TimeoutError:
+            return  # nothing came, which the answer says by having no records
+
+    def _answer_newest(self, topic: _Topic) -> None:
+        after = self.get_argument("after", "")
+        rows = [row for row in sorted(topic.newest_by_key().items()) if row[0] > after]
+        items = [
+            {"key": key, "value": base64.b64encode(value).decode(), "offset": offset}
+            for key, (offset, value) in rows[:PAGE_ITEMS]
+        ]
+        self.finish({"items": items, "more": len(rows) > PAGE_ITEMS, "end": len(topic.records)})
+
+
+def _split(body: bytes) -> list[bytes]:
+    records: list[bytes] = []
+    position = 0
+    while position < len(body):
+        (length,) = _LENGTH.unpack_from(body, position)
+        position += _LENGTH.size
+        records.append(body[position : position + length])
+        position += length
+    return records
--- a/apricotwalk_lab/standins/link.py
+++ b/apricotwalk_lab/standins/link.py
@@ -30,6 +30,8 @@
         Instances whose bytes and datagrams are swallowed, on open and on new connections.
     is_cut : bool
         Swallow everything.
+    is_cut_back : bool
+        Swallow what the target sends, and let the other way pass.
     delay_seconds : float
         Time that each chunk and datagram waits.
     datagram_loss : float
@@ -38,6 +40,7 @@
 
     cut_sources: set[str] = field(default_factory=set)
     is_cut: bool = False
+    is_cut_back: bool = False
     delay_seconds: float = 0.0
     datagram_loss: float = 0.0
 
@@ -118,7 +121,8 @@
 
     def heal(self) -> None:
         """Remove every fault; connections that were cut for a while close."""
-        was_cut = self.faults.is_cut or bool(self.faults.cut_sources)
+        faults = self.faults
+        was_cut = faults.is_cut or faults.is_cut_back or bool(faults.cut_sources)
         self.faults = LinkFaults()
         if was_cut:
             self.break_connections()
@@ -195,7 +199,7 @@
         target_reader, target_writer = await asyncio.open_connection(*self._target)
         connection.writers.append(target_writer)
         there = asyncio.ensure_future(self._pump(connection, reader, target_writer))
-        back = asyncio.ensure_future(self._pump(connection, target_reader, writer))
+        back = asyncio.ensure_future(self._pump(connection, target_reader, writer, is_back=True))
         try:
             await asyncio.wait([there, back], return_when=asyncio.FIRST_COMPLETED)
             while self._swallows(connection) and not self._is_closing:
@@ -206,14 +210,18 @@
             await asyncio.gather(there, back, return_exceptions=True)
 
     async def _pump(
-        self, connection: _Connection, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+        self,
+        connection: _Connection,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+        is_back: bool = False,
     ) -> None:
         with suppress(OSError):
             while data := await reader.read(CHUNK_BYTES):
                 if not connection.source:
                     connection.source = self._find_source(data)
                 await self._delay()
-                if self._swallows(connection):
+                if self._swallows(connection) or (is_back and self.faults.is_cut_back):
                     continue
                 writer.write(data)
                 await writer.drain()
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -7,7 +7,12 @@
 
 from apricotwalk.border import KeyedRecord
 from apricotwalk.core import ManualClock
-from apricotwalk.fleet import ConfigurationHolder, FleetMembers, StreamFollower
+from apricotwalk.fleet import (
+    ConfigurationHolder,
+    FleetMembers,
+    ReadingSchedule,
+    StreamFollower,
+)
 from apricotwalk.fleet._members import _encoder
 from apricotwalk.membership import Member, MemberState
 from apricotwalk.settings import Address
@@ -123,7 +128,8 @@
         stream = FakeStream()
         versions = [new_configuration(n, new_route("menu", "menu-svc")) for n in range(1, 6)]
         holder = holder_of(*versions)
-        follower = StreamFollower("c", stream, holder, quiet_log(), random.Random(1), 1.0)
+        schedule = ReadingSchedule("own", list, 1.0, random.Random(1))
+        follower = StreamFollower("c", stream, holder, quiet_log(), random.Random(1), schedule)
         stream.add(KeyedRecord("config", b"1"))
         await follower.start()
         await in_force(holder, 1)
