--- a/apricotwalk/fleet/_reading_schedule.py
+++ b/apricotwalk/fleet/_reading_schedule.py
@@ -12,13 +12,11 @@
 # Nodes that wait at the store for news.  One is enough while all is well; the others cover for
 # those that are cut off, stopped or refused by the store.
 READER_COUNT = 5
-# All nodes that do not wait ask once in this time together, which finds news within a second
-# where no reader has a connection.
-POLL_GAP_SECONDS = 0.25
 # A node that hears of something at the store first asks again soon, as while a fleet starts.
 FIRST_POLL_SECONDS = 0.5
 POLL_GROWTH = 2.0
-POLL_JITTER = 0.3
+# Pauses between none and twice the mean keep nodes that started together from asking together.
+LARGEST_JITTER = 2.0
 # Records that come one after the other are read together.
 REST_SECONDS = 0.1
 
@@ -35,6 +33,9 @@
     wait_seconds : float
         Time for which a read of a waiting node lasts, and so the time after which it notices
         that its connection has gone silent.
+    poll_gap_seconds : float
+        Time in which all nodes that do not wait ask once together; the usual time until news are
+        found where no reader has a connection.
     generator : random.Random
         Spreads the reads of many nodes.
 
@@ -56,12 +57,14 @@
         own: str,
         live_members: Callable[[], list[Member]],
         wait_seconds: float,
+        poll_gap_seconds: float,
         generator: random.Random,
     ) -> None:
         self._own = own
         self._own_hash = _hash(own)
         self._live_members = live_members
         self._wait_seconds = wait_seconds
+        self._poll_gap_seconds = poll_gap_seconds
         self._random = generator
         self._poll_seconds = FIRST_POLL_SECONDS
 
@@ -87,11 +90,10 @@
         if self.is_reader():
             self._poll_seconds = FIRST_POLL_SECONDS
             return (REST_SECONDS if had_records else 0.0, self._wait_seconds)
-        longest = max(FIRST_POLL_SECONDS, POLL_GAP_SECONDS * len(self._live_members()))
+        longest = max(FIRST_POLL_SECONDS, self._poll_gap_seconds * len(self._live_members()))
         grown = FIRST_POLL_SECONDS if had_news else self._poll_seconds * POLL_GROWTH
         self._poll_seconds = min(longest, grown)
-        jitter = self._random.uniform(1.0 - POLL_JITTER, 1.0 + POLL_JITTER)
-        return (self._poll_seconds * jitter, 0.0)
+        return (self._poll_seconds * self._random.uniform(0.0, LARGEST_JITTER), 0.0)
 
 
 def _hash(instance: str) -> int:
--- a/apricotwalk/meshnode/_node.py
+++ b/apricotwalk/meshnode/_node.py
@@ -58,6 +58,9 @@
 CONFIGURATION_WAIT_SHARE = 0.6
 # A stale view of members costs a hop, so their stream is read less often.
 MEMBERS_WAIT_SECONDS = 5.0
+MEMBERS_POLL_GAP_SECONDS = 1.0
+# So that the longest gap that chance makes stays below the bound for a configuration, 2 s.
+CONFIGURATION_POLL_GAP_SECONDS = 0.15
 # Each node passes a change on so often once, the first time that it hears of it: a change then
 # reaches all but one in fifty nodes, which learn it from the digests in pings.
 CHANGE_FANOUT = 4
@@ -267,7 +270,7 @@
                 self.configuration,
                 self.log,
                 self._random,
-                self._build_schedule(configuration_wait),
+                self._build_schedule(configuration_wait, CONFIGURATION_POLL_GAP_SECONDS),
             )
         )
         self._supervisor.add(
@@ -277,7 +280,7 @@
                 self.members,
                 self.log,
                 self._random,
-                self._build_schedule(MEMBERS_WAIT_SECONDS),
+                self._build_schedule(MEMBERS_WAIT_SECONDS, MEMBERS_POLL_GAP_SECONDS),
             )
         )
         self._supervisor.add(self.members)
@@ -292,9 +295,13 @@
         self._supervisor.add(self._callers)
         self._supervisor.add(HttpListener(settings.readiness, readiness.answer))
 
-    def _build_schedule(self, wait_seconds: float) -> ReadingSchedule:
+    def _build_schedule(self, wait_seconds: float, poll_gap_seconds: float) -> ReadingSchedule:
         return ReadingSchedule(
-            self.settings.instance, self._live_members, wait_seconds, self._random
+            self.settings.instance,
+            self._live_members,
+            wait_seconds,
+            poll_gap_seconds,
+            self._random,
         )
 
     def _live_members(self) -> list[Member]:
--- a/apricotwalk_lab/soak/__main__.py
+++ b/apricotwalk_lab/soak/__main__.py
@@ -4,6 +4,7 @@
 import asyncio
 import json
 import logging
+import signal
 import sys
 from dataclasses import asdict
 from pathlib import Path
@@ -35,6 +36,10 @@
     directories_by_seed: dict[int, Path], node_count: int, jobs: int
 ) -> list[SoakReport]:
     turns = asyncio.Semaphore(jobs)
+    # A soak that is stopped ends its nodes first.
+    main_task = asyncio.current_task()
+    assert main_task is not None
+    asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, main_task.cancel)
     # Callers and nodes that leave in the middle of a call are part of every run.
     logging.getLogger("tornado.access").setLevel(logging.CRITICAL)
 
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -128,7 +128,7 @@
         stream = FakeStream()
         versions = [new_configuration(n, new_route("menu", "menu-svc")) for n in range(1, 6)]
         holder = holder_of(*versions)
-        schedule = ReadingSchedule("own", list, 1.0, random.Random(1))
+        schedule = ReadingSchedule("own", list, 1.0, 0.2, random.Random(1))
         follower = StreamFollower("c", stream, holder, quiet_log(), random.Random(1), schedule)
         stream.add(KeyedRecord("config", b"1"))
         await follower.start()
--- /dev/null
+++ b/tests/test_reading_schedule.py
@@ -0,0 +1,84 @@
+"""Replays a fleet of readers in simulated time: calls to the store must not grow with it."""
+
+import heapq
+import itertools
+import random
+
+import pytest
+
+from apricotwalk.fleet import ReadingSchedule
+from apricotwalk.membership import Member, MemberState
+from apricotwalk.settings import Address
+
+CALM_SECONDS = 240.0
+# Far below the rates of the site files, 2,000 and 6,000 reads a second.
+LARGEST_RATE = 12.0
+
+
+def members_of(count):
+    address = Address("127.0.0.1", 7)
+    return [
+        Member(f"n-{number}", "menu", "z", "r", address, 1, MemberState.ALIVE)
+        for number in range(count)
+    ]
+
+
+def schedules_of(members, alive=None):
+    present = members if alive is None else alive
+    return [
+        ReadingSchedule(member.instance, lambda: present, 1.2, 0.15, random.Random(number))
+        for number, member in enumerate(members)
+    ]
+
+
+def reads_in_calm(schedules):
+    """Return when each read begins while nothing changes."""
+    numbers = itertools.count()
+    due = [(0.0, next(numbers), schedule) for schedule in schedules]
+    heapq.heapify(due)
+    times = []
+    while due[0][0] < CALM_SECONDS:
+        now, _, schedule = heapq.heappop(due)
+        times.append(now)
+        pause, wait = schedule.next_read(had_records=False, had_news=False)
+        heapq.heappush(due, (now + pause + max(wait, 0.004), next(numbers), schedule))
+    return times
+
+
+@pytest.mark.parametrize("count", [14, 91, 300])
+def test_calls_to_the_store_do_not_grow_with_the_fleet(count):
+    times = reads_in_calm(schedules_of(members_of(count)))
+    settled = [at for at in times if at > CALM_SECONDS / 2]
+    assert len(settled) / (CALM_SECONDS / 2) <= LARGEST_RATE
+
+
+@pytest.mark.parametrize("count", [14, 91, 300])
+def test_some_node_asks_soon_also_without_any_reader(count):
+    members = members_of(count)
+    schedules = [each for each in schedules_of(members) if not each.is_reader()]
+    assert len(schedules) == count - 5
+    times = [at for at in reads_in_calm(schedules) if at > CALM_SECONDS / 2]
+    gaps = [later - earlier for earlier, later in itertools.pairwise(times)]
+    # The operators' bound for a configuration is 2 s; the rest is for its way between peers.
+    assert max(gaps) < 1.5
+
+
+def test_every_node_of_a_small_fleet_waits_and_a_lost_reader_is_replaced():
+    members = members_of(20)
+    assert all(each.is_reader() for each in schedules_of(members[:5], members[:5]))
+    readers = [
+        member
+        for member, schedule in zip(members, schedules_of(members), strict=True)
+        if schedule.is_reader()
+    ]
+    others = [member for member in members if member not in readers[:2]]
+    assert sum(each.is_reader() for each in schedules_of(others, others)) == 5
+
+
+def test_polls_are_frequent_while_the_store_knows_what_peers_did_not_tell():
+    members = members_of(91)
+    poller, *_ = (each for each in schedules_of(members) if not each.is_reader())
+    pauses = [poller.next_read(True, True)[0] for _ in range(20)]
+    assert max(pauses) <= 1.0
+    pauses = [poller.next_read(False, False)[0] for _ in range(200)]
+    assert sum(pauses[10:]) / 190 > 0.8 * 0.15 * 91
