--- a/apricotwalk/fleet/_reading_schedule.py
+++ b/apricotwalk/fleet/_reading_schedule.py
@@ -15,8 +15,10 @@
 # A node that hears of something at the store first asks again soon, as while a fleet starts.
 FIRST_POLL_SECONDS = 0.5
 POLL_GROWTH = 2.0
-# Pauses between none and twice the mean keep nodes that started together from asking together.
-LARGEST_JITTER = 2.0
+# Pauses between half of the mean and half more keep nodes that started together from asking
+# together; pauses that differ more leave longer gaps.
+LEAST_JITTER = 0.5
+LARGEST_JITTER = 1.5
 # Records that come one after the other are read together.
 REST_SECONDS = 0.1
 
@@ -93,7 +95,7 @@
         longest = max(FIRST_POLL_SECONDS, self._poll_gap_seconds * len(self._live_members()))
         grown = FIRST_POLL_SECONDS if had_news else self._poll_seconds * POLL_GROWTH
         self._poll_seconds = min(longest, grown)
-        return (self._poll_seconds * self._random.uniform(0.0, LARGEST_JITTER), 0.0)
+        return (self._poll_seconds * self._random.uniform(LEAST_JITTER, LARGEST_JITTER), 0.0)
 
 
 def _hash(instance: str) -> int:
