--- a/apricotwalk_lab/soak/_server.py
+++ b/apricotwalk_lab/soak/_server.py
@@ -83,6 +83,7 @@
         self._beats: asyncio.Task[None] | None = None
         self._client = SimpleAsyncHTTPClient(force_instance=True, max_clients=4)
         self.server_id = ""
+        self._is_changing = False
         self.is_leaving = False
         self.is_slow = False
         self.loses_answers = False
@@ -110,23 +111,29 @@
 
     async def crash(self) -> None:
         """End without a word and come back later under a new name."""
-        await self.close()
-        await asyncio.sleep(RESTART_SECONDS)
-        await self.start()
+        if self._is_changing:
+            return
+        self._is_changing = True
+        await self._restart()
 
     async def replace(self) -> None:
         """Leave as planned, and start a new incarnation."""
-        if self.is_leaving or self._http is None:
+        if self._is_changing:
             return
+        self._is_changing = True
         self.is_leaving = True
         leaving = self.server_id
         if await self._report("draining"):
             self.records.left_at_by_server[leaving] = self.clock()
         await asyncio.sleep(SERVES_AFTER_LEAVE_SECONDS)
         await self._call("DELETE", None)
+        await self._restart()
+
+    async def _restart(self) -> None:
         await self.close()
         await asyncio.sleep(RESTART_SECONDS)
         await self.start()
+        self._is_changing = False
 
     async def work(self) -> None:
         """Take the time of one piece of work."""
