--- a/apricotwalk/admission/_concurrency_limit.py
+++ b/apricotwalk/admission/_concurrency_limit.py
@@ -6,14 +6,23 @@
 
 __all__ = ["AnnouncedLimit", "ConcurrencyLimit", "Limit"]
 
+# Used until the server announces its slots, which it does with its first heartbeat.
 DEFAULT_SLOTS = 16
+# A median of fewer samples moves by more than the slowdown that is looked for.
 WINDOW_SAMPLES = 20
+# Work of one route differs by about half, so less is no sign of queueing.
 TOLERATED_SLOWDOWN = 1.5
+# The step down of the gradient limits that the class refers to.
 SHRINK_FACTOR = 0.8
+# Larger than the step down undoes, so that a limit cut by mistake is back after two windows.
 GROWTH_FACTOR = 1.25
+# Throughput, as a share; below it more work at once only waits in the server.
 LEAST_GAIN = 0.1
+# Of the limit; with less in flight the limit was not what bounded the work.
 SATURATED_SHARE = 0.8
+# Requests; a smaller limit cannot shrink by a fifth.
 LEAST_LIMIT_TO_TRY = 4
+# Guards a division; the clock has microseconds.
 SHORTEST_SECONDS = 1e-6
 # Servers on the users' platform that slow down do so from this share of their slots on.
 NEARLY_FULL_SHARE = 0.95
--- a/apricotwalk/admission/_rank_queue.py
+++ b/apricotwalk/admission/_rank_queue.py
@@ -20,21 +20,37 @@
 
 __all__ = ["RankQueueController"]
 
+# At mean work, a full queue takes eight times that to drain, which deadlines still allow.
 QUEUE_LENGTH_PER_SLOT = 8
+# Requests; a burst of callers of one instance fits in.
 LEAST_QUEUE_LENGTH = 32
+# Requests; one that waits and one that comes meanwhile.
 LEAST_FLOOR_PLACES = 2
+# Holds some ten calls of 50 ms, the usual work of narrow services.
 DEMAND_MEMORY_SECONDS = 0.5
+# Floors are kept over seconds, not over single requests.
 FLOOR_MEMORY_SECONDS = 2.0
+# Demand of slow work is remembered for no longer, or the end of a surge is seen too late.
 LONGEST_MEMORY_SECONDS = 1.5
+# Pieces of work; the mean of fewer says little of the demand.
 MEMORY_WORKS = 8.0
+# Of what deadlines leave after the work; the rest is for the calls of the chain.
 TOLERATED_PATIENCE_SHARE = 0.25
+# One piece of usual work; less than that waits in any queue.
 LEAST_TOLERATED_WAIT_SECONDS = 0.05
+# Deadlines of callers are seconds; it is replaced by what is measured.
 FIRST_PATIENCE_SECONDS = 1.0
+# Ten requests, a fraction of a second at load.
 PATIENCE_SMOOTHING = 0.1
+# Of the limit; an empty queue may fill up by one round of work.
 HEADROOM_SHARE = 1.0
+# Work that is quicker than usual still takes a fifth more in a fifth of the cases.
 DEADLINE_MARGIN = 1.2
+# The way of an answer to its caller, 8 ms and two nodes, with a margin for a busy loop.
 ANSWER_SECONDS = 0.04
+# A tenth of the memory of the demand; the level moves no faster.
 LEVEL_CACHE_SECONDS = 0.05
+# Twice the memory of the demand, after which the queue is another one.
 SHED_RETRY_AFTER_SECONDS = 1.0
 
 
--- a/apricotwalk/admission/_service_times.py
+++ b/apricotwalk/admission/_service_times.py
@@ -4,10 +4,15 @@
 
 __all__ = ["ServiceTimes"]
 
+# Five pieces of work, of which a narrow service does as many in 10 ms.
 SMOOTHING = 0.2
+# The shortest work of the users' tables; it is replaced by the first measurement.
 FIRST_GUESS_SECONDS = 0.02
+# Ten times the usual work; a time that was not confirmed for longer may be old.
 TRUST_SECONDS = 1.0
+# Four probes a second find the end of a slow stretch and cost little of a server.
 PROBE_INTERVAL_SECONDS = 0.25
+# Of the first total time, as RFC 6298 begins.
 FIRST_DEVIATION_SHARE = 0.5
 
 
--- a/apricotwalk/fleet/_reading_schedule.py
+++ b/apricotwalk/fleet/_reading_schedule.py
@@ -14,6 +14,7 @@
 READER_COUNT = 5
 # A node that hears of something at the store first asks again soon, as while a fleet starts.
 FIRST_POLL_SECONDS = 0.5
+# Six polls lead from half a second to the pause of a fleet of a hundred nodes.
 POLL_GROWTH = 2.0
 # Pauses between half of the mean and half more keep nodes that started together from asking
 # together; pauses that differ more leave longer gaps.
--- a/apricotwalk/forwarding/_forwarder.py
+++ b/apricotwalk/forwarding/_forwarder.py
@@ -27,6 +27,7 @@
 # A request waits so long for a first member to become known, in steps of the second figure;
 # news of a change arrives within a few milliseconds.
 LONGEST_MEMBER_WAIT_SECONDS = 0.3
+# News arrive within milliseconds, and a wait is rare enough for polling.
 MEMBER_POLL_SECONDS = 0.02
 # A further try needs at least so much time, and more than the route usually takes.
 LEAST_RETRY_SECONDS = 0.02
--- a/apricotwalk/http1/_silence.py
+++ b/apricotwalk/http1/_silence.py
@@ -6,7 +6,9 @@
 
 # A server on the same machine acknowledges within a millisecond while it lives.
 KEEPALIVE_SECONDS = 1
+# One lost probe says nothing on a link that loses packets.
 KEEPALIVE_PROBES = 2
+# Below the second after which callers give a request up, with its way back.
 ACKNOWLEDGE_MS = 1500
 
 
--- a/apricotwalk/meshnode/_node.py
+++ b/apricotwalk/meshnode/_node.py
@@ -58,6 +58,7 @@
 CONFIGURATION_WAIT_SHARE = 0.6
 # A stale view of members costs a hop, so their stream is read less often.
 MEMBERS_WAIT_SECONDS = 5.0
+# Entries that lapsed are back within two seconds of the store, and peers tell most of them.
 MEMBERS_POLL_GAP_SECONDS = 1.0
 # So that the longest gap that chance makes stays below the bound for a configuration, 2 s.
 CONFIGURATION_POLL_GAP_SECONDS = 0.15
@@ -72,8 +73,11 @@
 LEAVE_NOTICE_SECONDS = 2.3
 # What is left of the stop time for closing connections.
 STOP_MARGIN_SECONDS = 0.5
+# A tenth of the 200 ms after which a request counts as cut.
 STOP_CHECK_SECONDS = 0.02
+# Settings that change without a signal are in use within the bound of a configuration.
 SETTINGS_CHECK_SECONDS = 2.0
+# Seeds start within 0.3 s of this node and need half a second until they answer.
 SEED_RETRY_SECONDS = 1.0
 
 
--- a/apricotwalk/meshnode/_peers.py
+++ b/apricotwalk/meshnode/_peers.py
@@ -24,6 +24,7 @@
 # Nodes differ while a change spreads.  Whole lists are exchanged no more often than this, and
 # less often the longer they are, because single changes are passed on anyway.
 EXCHANGE_SECONDS = 0.5
+# A list of a hundred members then costs a node less than a thousandth of a core.
 EXCHANGE_SECONDS_PER_MEMBER = 0.03
 
 
--- a/apricotwalk/meshnode/_probe.py
+++ b/apricotwalk/meshnode/_probe.py
@@ -14,7 +14,9 @@
 
 # A probe costs the server 6 ms of a slot; the first heartbeat ends the need for one.
 PROBE_PAUSE_SECONDS = 0.3
+# Heartbeats come each 1.5 s; later probes would only repeat what they say.
 LARGEST_PROBE_COUNT = 4
+# A health check waits for a slot as requests do; a full server answers no sooner.
 PROBE_TIMEOUT_SECONDS = 1.0
 READY = 200
 
--- a/apricotwalk/peering/_links.py
+++ b/apricotwalk/peering/_links.py
@@ -30,11 +30,13 @@
 CONNECT_TIMEOUT_SECONDS = 0.5
 # Two pings are lost before a connection counts as silent.
 PING_SECONDS = 0.3
+# Three pings, so that two lost ones are borne.
 SILENCE_LIMIT_SECONDS = 0.9
 # Connections that carry nothing cost both sides memory and pings.
 IDLE_LIMIT_SECONDS = 30.0
 # A node is back about a second after it was killed; a machine that is gone is dialled rarely.
 FIRST_REDIAL_SECONDS = 0.1
+# A machine that comes back is in use again within the time that a new one is.
 LONGEST_REDIAL_SECONDS = 2.0
 # A peer that is gone for good leaves the members; what is still asked for then is dialled anew.
 OUTAGE_MEMORY_SECONDS = 120.0
--- a/apricotwalk/platform/_store.py
+++ b/apricotwalk/platform/_store.py
@@ -20,12 +20,14 @@
 
 # A call takes 4 ms; half of the time in which a configuration has to be in force.
 REQUEST_TIMEOUT_SECONDS = 1.0
+# The store answers in 4 ms; a lost opening packet is sent again after a second anyway.
 CONNECT_TIMEOUT_SECONDS = 0.5
 # A read that finds nothing is answered this much after its wait at the latest; a slow store
 # takes sixty times its usual 4 ms.
 LATE_ANSWER_SECONDS = 0.6
 # The store answers with a megabyte at most, and one record may exceed that by its own size.
 LARGEST_ANSWER_BYTES = 4 * 1024 * 1024
+# Two waiting reads, one write, and what has not timed out yet during an outage.
 LARGEST_CALL_COUNT = 16
 GONE = 410
 
--- a/apricotwalk/quarantine/_board.py
+++ b/apricotwalk/quarantine/_board.py
@@ -7,9 +7,13 @@
 
 __all__ = ["CRASH_LIMIT", "QuarantineBoard"]
 
+# Of the product's own path, where fingerprints cover customer and key.
 CRASH_LIMIT = 2
+# Callers that resend a request do so within its deadline, ten minutes at most.
 EXPIRY_SECONDS = 600.0
+# Entries of some 50 bytes each.
 LARGEST_BOARD = 512
+# Suspects that fit into a packet beside a request.
 LARGEST_SHARE = 16
 
 
--- a/apricotwalk/retries/_throttle.py
+++ b/apricotwalk/retries/_throttle.py
@@ -7,10 +7,15 @@
 
 __all__ = ["ResendThrottle"]
 
+# One retry for ten first attempts, as SRE practice has it.
 TOKENS_PER_FIRST_ATTEMPT = 0.1
+# A caller with little traffic may still retry.
 TOKENS_PER_SECOND = 1.0
+# Retries that a quiet time may save up for a fault.
 LARGEST_BALANCE = 20.0
+# Streams that one node has in use.
 LARGEST_BUCKET_COUNT = 4096
+# The time in which one token comes back.
 RETRY_AFTER_SECONDS = 1.0
 
 
--- a/apricotwalk/routing/_growth_bound.py
+++ b/apricotwalk/routing/_growth_bound.py
@@ -6,9 +6,13 @@
 
 __all__ = ["GrowthBound"]
 
+# The time of a chain under load; older completions belong to another state.
 MEMORY_SECONDS = 1.0
+# Requests; fewer leave a server of some slots idle while rates are still unknown.
 LEAST_IN_FLIGHT = 8
+# Of what the deadline leaves; the rest is for answers on their way.
 PATIENCE_SHARE = 0.75
+# Flows that rest for longer begin anew, with nothing known.
 KEPT_SECONDS = 10.0
 
 
--- a/apricotwalk/routing/_selector.py
+++ b/apricotwalk/routing/_selector.py
@@ -10,11 +10,17 @@
 
 __all__ = ["AnswerReport", "TargetSelector"]
 
+# Ten answers of a route, about a second at one entry.
 LATENCY_SMOOTHING = 0.1
+# Of the limit; above it, a burst of one zone makes work wait while others have room.
 ROOM_LOAD = 0.5
+# Servers of one service differ in speed by up to three times; the slower half gives way.
 ROOM_SLOWNESS = 2.0
+# One ping; a member that answers nothing for longer may be frozen.
 ROOM_SILENCE_SECONDS = 0.3
+# Failure rate above that of the others; less is a fault of the whole service.
 EJECTION_EXCESS = 0.3
+# Of a service; if more of its members fail, leaving them out only moves the load.
 LARGEST_EJECTED_SHARE = 0.5
 SERVER_ERROR = 500
 
--- a/apricotwalk/routing/_statistics.py
+++ b/apricotwalk/routing/_statistics.py
@@ -5,15 +5,25 @@
 
 __all__ = ["EJECTION_FAILURE_RATE", "MemberStatistics"]
 
+# Five answers, so that one slow piece of work does not turn traffic away.
 SMOOTHING = 0.2
+# Two answers; a member that is quick again is to be used at once.
 IMPROVEMENT_SMOOTHING = 0.5
+# Five calls; four failures in a row eject a sound member.
 FAILURE_SMOOTHING = 0.2
+# A load that was told a second ago says little at some ten answers a second.
 FORGET_SECONDS = 1.0
+# Beyond five times, a member gets next to nothing in any case.
 LARGEST_SLOWNESS = 5.0
+# The time for which a new server is cold on the users' platform.
 RAMP_SECONDS = 3.0
+# Of a full share; enough to measure a new member.
 LEAST_WEIGHT = 0.1
+# A member that fails every second call costs more tries than it saves.
 EJECTION_FAILURE_RATE = 0.5
+# A node is back about a second after it was killed.
 FIRST_EJECTION_SECONDS = 1.0
+# Grey failures of the users' platform last five to ten seconds.
 LONGEST_EJECTION_SECONDS = 10.0
 
 
--- a/apricotwalk/telemetry/_decision_log.py
+++ b/apricotwalk/telemetry/_decision_log.py
@@ -14,10 +14,13 @@
 
 # About one line a request at the traffic of an ordinary node; a burst is cut to this.
 LINES_PER_SECOND = 150.0
+# Two seconds of the usual bound.
 LARGEST_BURST_LINES = 300.0
 # What a reader that has stopped reading may cost in memory.
 LARGEST_BACKLOG_BYTES = 262_144
+# Lines of a tenth of a second are written together.
 FLUSH_SECONDS = 0.1
+# What a pipe of the kernel holds.
 LARGEST_WRITE_BYTES = 65_536
 
 
--- a/apricotwalk/wire/_connection.py
+++ b/apricotwalk/wire/_connection.py
@@ -28,8 +28,11 @@
 
 __all__ = ["PeerConnection"]
 
+# A third of the limit on silence.
 PING_INTERVAL_SECONDS = 0.5
+# Between regions a round trip takes up to 0.3 s; two pings may be lost.
 SILENCE_LIMIT_SECONDS = 1.5
+# Connections that carry nothing cost both sides pings.
 IDLE_LIMIT_SECONDS = 10.0
 
 
