Let refused callers come back by the objective of their work

Change: refusals that last as long as a surge tell 0.4 of the objective, spread by a quarter each way, and 0.3 s at least; others as before.

--- a/apricotwalk/forwarding/_entry.py
+++ b/apricotwalk/forwarding/_entry.py
@@ -8,6 +8,7 @@
 from apricotwalk.fleet import ConfigurationHolder
 from apricotwalk.forwarding._deadlines import to_loop_time
 from apricotwalk.forwarding._forwarder import Forwarder, OutgoingRequest
+from apricotwalk.forwarding._return_time import ReturnTime
 from apricotwalk.forwarding._statuses import response_of_failure
 from apricotwalk.http1 import HttpRequest, HttpResponse
 from apricotwalk.metrics import MeshMetrics
@@ -37,6 +38,8 @@
         Chooses the service.
     forwarder : Forwarder
         Gets requests answered.
+    return_time : ReturnTime
+        Says when refused callers come back.
     fields : FieldNames
         Names of header fields.
     log : DecisionLog
@@ -50,6 +53,7 @@
         configuration: ConfigurationHolder,
         splitter: ServiceSplitter,
         forwarder: Forwarder,
+        return_time: ReturnTime,
         fields: FieldNames,
         log: DecisionLog,
         metrics: MeshMetrics,
@@ -57,6 +61,7 @@
         self._configuration = configuration
         self._splitter = splitter
         self._forwarder = forwarder
+        self._return_time = return_time
         self._request_id = fields.request_id.lower().encode()
         self._deadline = fields.deadline_ms.lower().encode()
         self._log = log
@@ -71,7 +76,9 @@
             outgoing = self._to_outgoing(request, request_id, self._find_route(request))
             response = await self._forward(outgoing)
         except CallFailure as failure:
-            response, cause = response_of_failure(failure), failure.cause
+            objective = outgoing.route.objective_seconds if outgoing is not None else 0.0
+            return_seconds = self._return_time.seconds(failure, objective)
+            response, cause = response_of_failure(failure, return_seconds), failure.cause
         self._report(request, request_id, outgoing, response.status, cause)
         return response
 
--- a/apricotwalk/forwarding/_statuses.py
+++ b/apricotwalk/forwarding/_statuses.py
@@ -9,13 +9,18 @@
 
 # Requests that cannot succeed as they are; a caller that came back would be refused again.
 HOPELESS_STATUSES = frozenset({400, 404, 413, 431})
-# Room is usually back within a fraction of a second; a caller that returns sooner finds none.
-DEFAULT_RETRY_AFTER_SECONDS = 0.3
 
 
-def response_of_failure(failure: CallFailure) -> HttpResponse:
+def response_of_failure(failure: CallFailure, return_seconds: float) -> HttpResponse:
     """Return the answer that tells a caller what is known of a failed request.
 
+    Parameters
+    ----------
+    failure : CallFailure
+        What is known of it.
+    return_seconds : float
+        When the caller is to come back, if it is told that the request has not run.
+
     Notes
     -----
     503 is only said of a request that has not run and never will; everything that may have run
@@ -26,10 +31,9 @@
     if failure.verdict is Verdict.NOT_RUN and failure.status in HOPELESS_STATUSES:
         return HttpResponse(failure.status, cause, body)
     if failure.verdict is Verdict.NOT_RUN:
-        seconds = failure.retry_after or DEFAULT_RETRY_AFTER_SECONDS
         return HttpResponse(
             HTTPStatus.SERVICE_UNAVAILABLE,
-            cause + encode_field("Retry-After", f"{seconds:.2f}"),
+            cause + encode_field("Retry-After", f"{return_seconds:.2f}"),
             body,
         )
     status = HTTPStatus.BAD_GATEWAY
--- a/apricotwalk/meshnode/_node.py
+++ b/apricotwalk/meshnode/_node.py
@@ -27,6 +27,7 @@
     Entry,
     Forwarder,
     RepeatAllowance,
+    ReturnTime,
     ServerSide,
 )
 from apricotwalk.http1 import HttpLimits, HttpListener
@@ -248,7 +249,13 @@
             self.settings.service,
         )
         entry = Entry(
-            self.configuration, self._splitter, self._forwarder, fields, self.log, self.metrics
+            self.configuration,
+            self._splitter,
+            self._forwarder,
+            ReturnTime(self._random),
+            fields,
+            self.log,
+            self.metrics,
         )
         return HttpListener(
             self.settings.callers,
--- a/tests/test_mesh_decisions.py
+++ b/tests/test_mesh_decisions.py
@@ -8,7 +8,12 @@
 
 from apricotwalk.border import Heartbeat, HeartbeatCall, ServiceShare
 from apricotwalk.core import CallFailure, ManualClock, Verdict
-from apricotwalk.forwarding import BackendRegistry, RepeatAllowance, response_of_failure
+from apricotwalk.forwarding import (
+    BackendRegistry,
+    RepeatAllowance,
+    ReturnTime,
+    response_of_failure,
+)
 from apricotwalk.routes import RouteTable, ServiceSplitter
 from apricotwalk.telemetry import DecisionLog
 from tests.mesh_fakes import FakePlatform, FakeStore, new_configuration, new_route
@@ -162,11 +167,51 @@
     ],
 )
 def test_only_what_has_not_run_is_told_so(verdict, status, expected):
-    response = response_of_failure(CallFailure(verdict, "cause", "detail", status))
+    response = response_of_failure(CallFailure(verdict, "cause", "detail", status), 0.3)
     assert response.status == expected
     assert (b"Retry-After" in response.fields) == (expected == 503)
 
 
+def served_in_surge(return_seconds):
+    """Return the share of callers that are served when a surge asks for twice what fits."""
+    capacity, objective, patience = 100, 4.0, 6.0
+    arrivals = {}
+    for second in range(30):
+        asked = 2 * capacity if 5 <= second < 11 else 3 * capacity // 5
+        for number in range(asked):
+            arrivals.setdefault(10 * second + number * 10 // asked, []).append((second, 0))
+    served, asked = 0, sum(len(group) for group in arrivals.values())
+    for step in range(400):
+        room = capacity // 10
+        for began, tries in arrivals.get(step, []):
+            if room:
+                room -= 1
+                served += step / 10 - began <= objective
+            elif tries == 0:
+                pause = min(return_seconds(), (patience - step / 10 + began) / 3)
+                later = step + max(1, round(10 * pause))
+                arrivals.setdefault(later, []).append((began, 1))
+    return served / asked
+
+
+def test_callers_with_a_long_objective_return_after_a_surge_and_not_into_it():
+    returns = ReturnTime(random.Random(3))
+    refusal = CallFailure(Verdict.NOT_RUN, "shed", "full", 503, retry_after=1.0)
+    at_once = served_in_surge(lambda: 0.3)
+    late = served_in_surge(lambda: returns.seconds(refusal, 4.0))
+    assert late >= at_once + 0.01
+
+
+def test_urgent_callers_and_those_of_a_starting_node_return_soon():
+    returns = ReturnTime(random.Random(3))
+    refusal = CallFailure(Verdict.NOT_RUN, "shed", "full", 503, retry_after=1.0)
+    starting = CallFailure(Verdict.NOT_RUN, "no-configuration", "none yet")
+    assert returns.seconds(refusal, 0.2) == 0.3
+    assert returns.seconds(starting, 4.0) == 0.3
+    times = [returns.seconds(refusal, 4.0) for _ in range(50)]
+    assert 1.2 <= min(times) < 1.4 < 1.8 < max(times) <= 2.0
+
+
 def test_the_log_is_bounded_in_a_burst_and_waits_for_no_reader():
     reading, writing = os.pipe()
     os.set_blocking(writing, False)
