Dial peers again that have said goodbye

Ruled out: the servers, which run; the load. Change: the address of a peer that said goodbye is dialled in the background. The new test is red without it.

--- a/apricotwalk/peering/_links.py
+++ b/apricotwalk/peering/_links.py
@@ -130,7 +130,9 @@
     Connections on which requests wait are pinged, and a random other one besides, because pings
     carry what both sides know of members and of the configuration.  One that does not answer a
     ping for 0.9 s is closed and replaced.  A peer that could not be reached is dialled again in
-    the background, so that no request waits for the attempt.
+    the background, so that no request waits for the attempt.  So is one that has said goodbye: it
+    may be back with nothing known, and while the store is away only a peer that dials it can tell
+    it of the others and the others of it.
     """
 
     def __init__(self, own: Member, handler: PeerHandler, generator: random.Random) -> None:
@@ -282,12 +284,18 @@
         self._links.discard(link)
         if self._links_by_address.get(link.address) is link:
             del self._links_by_address[link.address]
+            if link.is_retiring:
+                self._await_return(link.address)
+
+    def _await_return(self, address: Address) -> None:
+        logger.bind(peer=str(address)).info("peer-left")
+        self._outages_by_address.setdefault(address, _Outage(time.monotonic()))
 
     def _check(self, link: _Link, was_paused: bool, now: float) -> None:
         if was_paused:
             link.asked_at = 0.0
         is_idle = not link.waiting_count
-        if is_idle and (link.is_retiring or now - link.last_used > IDLE_LIMIT_SECONDS):
+        if is_idle and not link.is_retiring and now - link.last_used > IDLE_LIMIT_SECONDS:
             link.close()
         elif link.asked_at and now - link.asked_at > SILENCE_LIMIT_SECONDS:
             logger.bind(peer=str(link.address)).warning("peer-silent")
--- a/tests/test_mesh_path.py
+++ b/tests/test_mesh_path.py
@@ -330,3 +330,29 @@
         }
 
     run(body())
+
+
+def test_a_node_restarted_while_the_store_is_away_learns_from_peers_and_is_found(run):
+    async def body():
+        places = [("m1", "menu-svc"), ("d1", "dispatch-svc")]
+        async with mesh_of(*places) as mesh:
+            caller = await mesh.caller("m1")
+            assert (await caller.ask("/dispatch/1", method="POST"))[0] == 200
+            mesh.store.configuration.go_down()
+            mesh.store.members.go_down()
+            await mesh.nodes["d1"].drain()
+            await mesh.nodes["d1"].close()
+            restarted = MeshNode(mesh.nodes["d1"]._platform)
+            mesh.nodes["d1"] = restarted
+            await restarted.start()
+            # Redialling begins after 0.4 s at most; what is asked for meanwhile is refused.
+            async with asyncio.timeout(2.0):
+                while (await caller.ask("/dispatch/2", method="POST"))[0] != 200:
+                    await asyncio.sleep(0.05)
+            assert restarted.configuration.version == 1
+            other = await mesh.caller("d1")
+            assert (await other.ask("/menu/1"))[0] == 200
+            caller.close()
+            other.close()
+
+    run(body())
