--- a/apricotwalk_lab/soak/_checks.py
+++ b/apricotwalk_lab/soak/_checks.py
@@ -27,6 +27,10 @@
 LARGEST_TARGET_COUNT = 2
 REFUSALS = frozenset({408, 421, 429, 503})
 OWN_FAILURES = frozenset({502, 504})
+SERVER_FAILURES = frozenset({500, 502, 503, 504})
+# Restarted nodes refuse for a moment; an outage of the store alone excuses no more.
+SERVED_SHARE = 0.9
+LEAST_JUDGED = 50
 # A started node is back after its restart pause and a second of starting on a busy machine.
 START_SECONDS = 2.0
 
@@ -62,6 +66,7 @@
         _check_budget(records),
         _check_versions(plan, records, starts_by_node),
         _check_stops(plan, records),
+        _check_service(plan, records),
     )
     return [line for lines in checks for line in lines]
 
@@ -158,6 +163,22 @@
                 yield from _check_cut(entry, records)
 
 
+def _check_service(plan: SoakPlan, records: Records) -> Iterator[str]:
+    """Find a lack of service while nothing but the store and planned work is disturbed."""
+    judged = [
+        entry
+        for entry in records.tries
+        if entry.ended
+        and not any(
+            _overlaps(fault, entry.sent - CONTACT_SECONDS, entry.ended) for fault in plan.faults
+        )
+    ]
+    failed = [entry for entry in judged if entry.status in SERVER_FAILURES or not entry.status]
+    if len(judged) >= LEAST_JUDGED and len(failed) > (1.0 - SERVED_SHARE) * len(judged):
+        example = _describe(failed[0], records)
+        yield f"{len(failed)} of {len(judged)} failed without a fault of their own: {example}"
+
+
 def _check_cut(entry: Try, records: Records) -> Iterator[str]:
     has_run = bool(records.executions_by_request.get(entry.request_id))
     is_late = entry.ended - entry.sent > LOST_SECONDS
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -78,6 +78,13 @@
             CALM,
             "an older version again",
         ),
+        (
+            records_of(
+                *[entry_of(f"q{n}", status=503 if n % 5 else 200, sent=11.0) for n in range(60)]
+            ),
+            SoakPlan(0, ("menu",), (Fault(FaultKind.STORE_DOWN, 10.0, 4.0, 0),)),
+            "48 of 60 failed without a fault of their own",
+        ),
         (
             records_of(
                 entry_of(status=0, sent=10.1, ended=10.2), runs=[("q", "s1", "menu", 10.15)]
