Keep connections to two peers also without traffic

Cause, found by reading: with few readers, a node that no request connects to others would hear of a version by its own poll alone, 2 s and more apart on 14 nodes and 14 s on 91; the bound is 2 s. Change: each node opens connections to random live members until it has two; pings over them carry versions and digests. The new test has nodes without traffic and a store that is away.

--- a/apricotwalk/meshnode/_node.py
+++ b/apricotwalk/meshnode/_node.py
@@ -66,6 +66,9 @@
 # Each node passes a change on so often once, the first time that it hears of it: a change then
 # reaches all but one in fifty nodes, which learn it from the digests in pings.
 CHANGE_FANOUT = 4
+# A node without traffic hears of changes over connections of its own; with two, one may fail.
+LEAST_PEER_COUNT = 2
+PEER_CHECK_SECONDS = 0.3
 # A version is announced by a ping, which costs less than the version itself.
 VERSION_FANOUT = 8
 MICROSECONDS_PER_SECOND = 1_000_000
@@ -163,6 +166,7 @@
         await self._supervisor.start()
         self._supervisor.run_loop("probe", self._probe_backend)
         self._supervisor.run_loop("settings", self._watch_settings)
+        self._supervisor.run_loop("peers", self._keep_peers)
         if self.settings.seeds:
             self._supervisor.run_loop("seeds", self._ask_seeds)
         self.log.believe(
@@ -400,6 +404,16 @@
                 if self._platform.load_settings() != self.settings:
                     self.reload()
 
+    async def _keep_peers(self) -> None:
+        """Stay connected to some peers also while no request needs them."""
+        while True:
+            await asyncio.sleep(PEER_CHECK_SECONDS)
+            others = [m for m in self._live_members() if m.instance != self.settings.instance]
+            if not others or self.links.open_count >= LEAST_PEER_COUNT:
+                continue
+            with suppress(CallFailure):  # logged as a lost peer; another one follows
+                await self.links.introduce(self._random.choice(others).address)
+
     async def _ask_seeds(self) -> None:
         """Ask the nodes named in the settings while no other node is known."""
         while len(self.members.known()) <= 1:
--- a/apricotwalk/peering/_links.py
+++ b/apricotwalk/peering/_links.py
@@ -187,6 +187,23 @@
         for link in self._links_by_address.values():
             link.send(message)
 
+    @property
+    def open_count(self) -> int:
+        """Peers to which a connection is open."""
+        return sum(link.takes_calls for link in self._links_by_address.values())
+
+    async def introduce(self, address: Address) -> None:
+        """Open a connection to a peer, over which both sides exchange what they know.
+
+        Raises
+        ------
+        CallFailure
+            If the peer cannot be reached.
+        """
+        link = self._links_by_address.get(address)
+        if link is None or not link.takes_calls:
+            await self._open(address)
+
     def tell_some(self, message: PeerMessage, count: int) -> None:
         """Send a message on so many open connections, chosen at random."""
         for link in self._some(count):
--- a/tests/test_mesh_path.py
+++ b/tests/test_mesh_path.py
@@ -356,3 +356,21 @@
             other.close()
 
     run(body())
+
+
+def test_a_node_without_traffic_hears_of_a_version_from_peers(run):
+    async def body():
+        places = [("m1", "menu-svc"), ("m2", "menu-svc"), ("d1", "dispatch-svc")]
+        async with mesh_of(*places) as mesh:
+            async with asyncio.timeout(2.0):
+                while any(node.links.open_count < 2 for node in mesh.nodes.values()):
+                    await asyncio.sleep(0.05)
+            mesh.store.configuration.go_down()
+            mesh.store.publish(new_configuration(2, MENU, DISPATCH))
+            record = mesh.store.configuration.records[-1]
+            mesh.nodes["m1"].configuration.take(record.key, record.value, "test")
+            async with asyncio.timeout(1.0):
+                while any(node.configuration.version < 2 for node in mesh.nodes.values()):
+                    await asyncio.sleep(0.02)
+
+    run(body())
