--- a/apricotwalk/fleet/_follower.py
+++ b/apricotwalk/fleet/_follower.py
@@ -95,9 +95,9 @@
             page = await self._stream.newest()
             self._had_news = self._taker.take_snapshot(page.records)
         else:
-            pause, wait = self._schedule.next_read(self._had_records, self._had_news)
-            await asyncio.sleep(pause)
-            page = await self._stream.read(self._offset, wait)
+            read = self._schedule.next_read(self._had_records, self._had_news)
+            await asyncio.sleep(read.pause_seconds)
+            page = await self._stream.read(self._offset, read.wait_seconds)
             self._had_news = any([self._taker.take_record(record) for record in page.records])
         self._had_records = bool(page.records)
         self._offset = page.next_offset
--- a/apricotwalk/fleet/_reading_schedule.py
+++ b/apricotwalk/fleet/_reading_schedule.py
@@ -2,12 +2,13 @@
 
 import random
 from collections.abc import Callable
+from dataclasses import dataclass
 
 from xxhash import xxh3_64_intdigest
 
 from apricotwalk.membership import Member
 
-__all__ = ["ReadingSchedule"]
+__all__ = ["NextRead", "ReadingSchedule"]
 
 # Nodes that wait at the store for news.  One is enough while all is well; the others cover for
 # those that are cut off, stopped or refused by the store.
@@ -24,6 +25,22 @@
 REST_SECONDS = 0.1
 
 
+@dataclass(frozen=True, slots=True)
+class NextRead:
+    """The next read of a stream.
+
+    Parameters
+    ----------
+    pause_seconds : float
+        Time until it begins.
+    wait_seconds : float
+        Time for which it waits for a record at the store.
+    """
+
+    pause_seconds: float
+    wait_seconds: float
+
+
 class ReadingSchedule:
     """Lets a few nodes wait for news at the store, and the others ask now and then.
 
@@ -80,8 +97,8 @@
         )
         return before < READER_COUNT
 
-    def next_read(self, had_records: bool, had_news: bool) -> tuple[float, float]:
-        """Return the pause before the next read, and how long that waits for records.
+    def next_read(self, had_records: bool, had_news: bool) -> NextRead:
+        """Return when to read next and how long to wait then.
 
         Parameters
         ----------
@@ -92,11 +109,12 @@
         """
         if self.is_reader():
             self._poll_seconds = FIRST_POLL_SECONDS
-            return (REST_SECONDS if had_records else 0.0, self._wait_seconds)
+            return NextRead(REST_SECONDS if had_records else 0.0, self._wait_seconds)
         longest = max(FIRST_POLL_SECONDS, self._poll_gap_seconds * len(self._live_members()))
         grown = FIRST_POLL_SECONDS if had_news else self._poll_seconds * POLL_GROWTH
         self._poll_seconds = min(longest, grown)
-        return (self._poll_seconds * self._random.uniform(LEAST_JITTER, LARGEST_JITTER), 0.0)
+        jitter = self._random.uniform(LEAST_JITTER, LARGEST_JITTER)
+        return NextRead(self._poll_seconds * jitter, 0.0)
 
 
 def _hash(instance: str) -> int:
--- a/apricotwalk/peering/_links.py
+++ b/apricotwalk/peering/_links.py
@@ -177,9 +177,7 @@
         CallFailure
             ``NOT_RUN`` if it was never written, ``MAY_HAVE_RUN`` if no reply came.
         """
-        link = self._links_by_address.get(address)
-        if link is None or not link.takes_calls:
-            link = await self._open(address)
+        link = await self._link_to(address)
         return await link.call(message)
 
     def tell_all(self, message: PeerMessage) -> None:
@@ -200,9 +198,7 @@
         CallFailure
             If the peer cannot be reached.
         """
-        link = self._links_by_address.get(address)
-        if link is None or not link.takes_calls:
-            await self._open(address)
+        await self._link_to(address)
 
     def tell_some(self, message: PeerMessage, count: int) -> None:
         """Send a message on so many open connections, chosen at random."""
@@ -227,11 +223,16 @@
         CallFailure
             If the peer cannot be reached.
         """
-        link = self._links_by_address.get(address)
-        if link is None or not link.takes_calls:
-            link = await self._open(address)
+        link = await self._link_to(address)
         link.send(message)
 
+    async def _link_to(self, address: Address) -> _Link:
+        """Return the open connection to a peer, or a new one."""
+        link = self._links_by_address.get(address)
+        if link is not None and link.takes_calls:
+            return link
+        return await self._open(address)
+
     async def _open(self, address: Address) -> _Link:
         if not self.is_reachable(address):
             raise _unreachable(address, "it is being dialled in the background")
--- a/tests/test_reading_schedule.py
+++ b/tests/test_reading_schedule.py
@@ -40,8 +40,9 @@
     while due[0][0] < CALM_SECONDS:
         now, _, schedule = heapq.heappop(due)
         times.append(now)
-        pause, wait = schedule.next_read(had_records=False, had_news=False)
-        heapq.heappush(due, (now + pause + max(wait, 0.004), next(numbers), schedule))
+        read = schedule.next_read(had_records=False, had_news=False)
+        ends = now + read.pause_seconds + max(read.wait_seconds, 0.004)
+        heapq.heappush(due, (ends, next(numbers), schedule))
     return times
 
 
@@ -78,7 +79,7 @@
 def test_polls_are_frequent_while_the_store_knows_what_peers_did_not_tell():
     members = members_of(91)
     poller, *_ = (each for each in schedules_of(members) if not each.is_reader())
-    pauses = [poller.next_read(True, True)[0] for _ in range(20)]
+    pauses = [poller.next_read(True, True).pause_seconds for _ in range(20)]
     assert max(pauses) <= 1.0
-    pauses = [poller.next_read(False, False)[0] for _ in range(200)]
+    pauses = [poller.next_read(False, False).pause_seconds for _ in range(200)]
     assert sum(pauses[10:]) / 190 > 0.8 * 0.15 * 91
