--- a/apricotwalk/fleet/_configuration.py
+++ b/apricotwalk/fleet/_configuration.py
@@ -3,7 +3,7 @@
 from collections.abc import Callable
 
 from apricotwalk.border import KeyedRecord, RouteConfiguration
-from apricotwalk.core import Clock, RecordError
+from apricotwalk.core import RecordError
 from apricotwalk.fleet._follower import RecordTaker
 from apricotwalk.routes import RouteTable
 from apricotwalk.telemetry import DecisionLog
@@ -22,21 +22,17 @@
         Reads the value of a record; returns None if its key stands for something else.
     log : DecisionLog
         Receives each version that comes into force.
-    clock : Clock
-        Source of time.
 
     Notes
     -----
     A version only ever gives way to a newer one, whatever order they arrive in.
     """
 
-    def __init__(self, read: ConfigurationReader, log: DecisionLog, clock: Clock) -> None:
+    def __init__(self, read: ConfigurationReader, log: DecisionLog) -> None:
         self._read = read
         self._log = log
-        self._clock = clock
         self.table: RouteTable | None = None
         self.key = ""
-        self.in_force_since = 0.0
         self.changed: Callable[[RouteConfiguration], None] = lambda configuration: None
 
     @property
@@ -49,10 +45,6 @@
         """The configuration in force."""
         return self.table.configuration if self.table is not None else None
 
-    def age(self) -> float:
-        """Return for how many seconds the version has been in force."""
-        return self._clock.monotonic() - self.in_force_since
-
     def take_record(self, record: KeyedRecord) -> bool:
         """Take a record of the store; see `RecordTaker.take_record`."""
         return record.value is not None and self.take(record.key, record.value, "store")
@@ -69,7 +61,6 @@
         former = self.version
         self.table = RouteTable(configuration)
         self.key = key
-        self.in_force_since = self._clock.monotonic()
         self._log.believe(
             "configuration-in-force",
             version=configuration.version,
--- a/apricotwalk/fleet/_reading_schedule.py
+++ b/apricotwalk/fleet/_reading_schedule.py
@@ -90,12 +90,7 @@
 
     def is_reader(self) -> bool:
         """Return whether this node waits at the store."""
-        before = sum(
-            _hash(member.instance) < self._own_hash
-            for member in self._live_members()
-            if member.instance != self._own
-        )
-        return before < READER_COUNT
+        return self._is_reader_of(self._live_members())
 
     def next_read(self, had_records: bool, had_news: bool) -> NextRead:
         """Return when to read next and how long to wait then.
@@ -107,15 +102,24 @@
         had_news : bool
             Whether it brought one that this node had not heard of.
         """
-        if self.is_reader():
+        members = self._live_members()
+        if self._is_reader_of(members):
             self._poll_seconds = FIRST_POLL_SECONDS
             return NextRead(REST_SECONDS if had_records else 0.0, self._wait_seconds)
-        longest = max(FIRST_POLL_SECONDS, self._poll_gap_seconds * len(self._live_members()))
+        longest = max(FIRST_POLL_SECONDS, self._poll_gap_seconds * len(members))
         grown = FIRST_POLL_SECONDS if had_news else self._poll_seconds * POLL_GROWTH
         self._poll_seconds = min(longest, grown)
         jitter = self._random.uniform(LEAST_JITTER, LARGEST_JITTER)
         return NextRead(self._poll_seconds * jitter, 0.0)
 
+    def _is_reader_of(self, members: list[Member]) -> bool:
+        before = sum(
+            _hash(member.instance) < self._own_hash
+            for member in members
+            if member.instance != self._own
+        )
+        return before < READER_COUNT
+
 
 def _hash(instance: str) -> int:
     return xxh3_64_intdigest(instance.encode())
--- a/apricotwalk/forwarding/_forwarder.py
+++ b/apricotwalk/forwarding/_forwarder.py
@@ -207,7 +207,6 @@
             reply.cause,
             f"{member.instance} answered {reply.cause}",
             reply.status or 502,
-            reply.retry_after or None,
         )
 
     async def _choose(self, request: OutgoingRequest) -> Member:
--- a/apricotwalk/forwarding/_return_time.py
+++ b/apricotwalk/forwarding/_return_time.py
@@ -47,7 +47,7 @@
             Time within which an answer serves the caller fully, 0 if no route is known.
         """
         if failure.cause not in LASTING_CAUSES:
-            return failure.retry_after or SHORT_SECONDS
+            return SHORT_SECONDS
         late = OBJECTIVE_SHARE * objective_seconds
         late *= self._random.uniform(LEAST_SPREAD, LARGEST_SPREAD)
         return max(SHORT_SECONDS, late)
--- a/apricotwalk/forwarding/_server_side.py
+++ b/apricotwalk/forwarding/_server_side.py
@@ -99,7 +99,6 @@
                 load=self._admission.load(),
                 reported_load=self.reported_load,
                 suspects=self._crash_watch.board.suspects(),
-                retry_after=failure.retry_after or 0.0,
             )
         self._metrics.count_server_side("completed")
         return ReplyMessage(
--- a/apricotwalk/meshnode/_node.py
+++ b/apricotwalk/meshnode/_node.py
@@ -107,7 +107,7 @@
         settings = self.settings
         self.log = DecisionLog(settings.instance, settings.availability_zone, self._clock)
         self.metrics = MeshMetrics()
-        self.configuration = ConfigurationHolder(platform.read_configuration, self.log, self._clock)
+        self.configuration = ConfigurationHolder(platform.read_configuration, self.log)
         self.members = self._build_members()
         self._peers = MeshPeerHandler(self.members, self.configuration)
         self.links = PeerLinks(self.members.own, self._peers, self._random)
@@ -386,7 +386,6 @@
         self.metrics.configuration_version.set(self.configuration.version)
         self.metrics.members.set(len(self.members.known()))
         self.metrics.load.set(self.admission.load())
-        self.allowance.set_member_count(len(self.members.members(self.settings.service)))
 
     async def _probe_backend(self) -> None:
         """Find a server that is ready already, as after a restart of this node alone."""
--- a/apricotwalk/peering/_messages.py
+++ b/apricotwalk/peering/_messages.py
@@ -129,8 +129,6 @@
         Load that the backend server reports of itself.
     suspects : list of Suspect
         Requests that the answering node suspects of crashing servers.
-    retry_after : float
-        Seconds after which a further try is sensible, 0 if nothing is known.
     """
 
     call: int
@@ -142,7 +140,6 @@
     load: float = 0.0
     reported_load: float = 0.0
     suspects: list[Suspect] = []
-    retry_after: float = 0.0
 
 
 class CancelMessage(Struct, frozen=True, array_like=True, tag=6):
--- a/apricotwalk_lab/soak/_callers.py
+++ b/apricotwalk_lab/soak/_callers.py
@@ -24,8 +24,7 @@
 # Callers of the platform wait a little beyond what they told, for the answer on its way.
 LAST_WAIT_SECONDS = 0.5
 RECONNECT_SECONDS = 0.1
-TAKEN = frozenset({FIELD_NAMES.signature.lower().encode(), b"retry-after"})
-SUCCESS, REDIRECTION = 200, 300
+SIGNATURE = FIELD_NAMES.signature.lower().encode()
 
 
 class Callers(Service):
@@ -98,7 +97,9 @@
         try:
             async with asyncio.timeout(CONNECT_SECONDS):
                 transport, connection = await loop.create_connection(
-                    lambda: ServerConnection(id_field, TAKEN), self._hosts[node], CALLER_PORT
+                    lambda: ServerConnection(id_field, frozenset({SIGNATURE})),
+                    self._hosts[node],
+                    CALLER_PORT,
                 )
         except (OSError, TimeoutError):
             return None  # the node is down or frozen, which the run knows
@@ -123,9 +124,9 @@
 
     def _take(self, entry: Try, answer: ServerAnswer) -> None:
         entry.status = answer.status
-        if not SUCCESS <= answer.status < REDIRECTION:
+        if not entry.is_served:
             return
-        signature = answer.values_by_name.get(FIELD_NAMES.signature.lower().encode(), "")
+        signature = answer.values_by_name.get(SIGNATURE, "")
         server, _, expected = signature.partition(".")
         entry.is_whole = bool(expected) and expected == seal(server, entry.request_id, answer.body)
 
--- a/apricotwalk_lab/soak/_faults.py
+++ b/apricotwalk_lab/soak/_faults.py
@@ -7,14 +7,13 @@
 
 from apricotwalk_lab.soak._callers import Callers
 from apricotwalk_lab.soak._fleet import NodePlace
-from apricotwalk_lab.soak._pages import CONFIGURATION_KEY, configuration
+from apricotwalk_lab.soak._pages import CONFIGURATION_KEY, OPERATOR_TOPIC, configuration
 from apricotwalk_lab.soak._plan import Fault, FaultKind
 from apricotwalk_lab.soak._records import Records
 from apricotwalk_lab.soak._store import StoreStandIn
 
 __all__ = ["FaultInjector"]
 
-OPERATOR_TOPIC = "keyed.op"
 STORE_DELAY_SECONDS = 0.3
 BURST_FACTOR = 6.0
 
--- a/apricotwalk_lab/soak/_fleet.py
+++ b/apricotwalk_lab/soak/_fleet.py
@@ -9,18 +9,23 @@
 from pathlib import Path
 
 from apricotwalk.core import Service
-from apricotwalk_lab.soak._pages import STOP_SECONDS, settings_text
+from apricotwalk_lab.soak._pages import (
+    BACKEND_PORT,
+    SETTINGS_VARIABLE,
+    STOP_SECONDS,
+    STORE_PORT,
+    settings_text,
+)
 from apricotwalk_lab.soak._records import Records
 from apricotwalk_lab.soak._server import BackendServerStandIn
 from apricotwalk_lab.standins.link import Link
 
 __all__ = ["NodePlace"]
 
+# Where the server itself listens; the node reaches it over a link.
 SERVER_PORT = 8401
-STORE_PORT = 8309
 # The platform starts a process again after a short pause.
 RESTART_SECONDS = 0.4
-SETTINGS_VARIABLE = "APRICOTWALK_NODE_FILE"
 
 
 class NodePlace(Service):
@@ -61,7 +66,7 @@
         self.server = BackendServerStandIn(
             name, service, host, SERVER_PORT, records, clock, generator
         )
-        self.server_link = Link((host, 8301), (host, SERVER_PORT), [], generator)
+        self.server_link = Link((host, BACKEND_PORT), (host, SERVER_PORT), [], generator)
         self.store_link = Link((host, STORE_PORT), store, [], generator)
         self._process: asyncio.subprocess.Process | None = None
         self._keeper: asyncio.Task[None] | None = None
--- a/apricotwalk_lab/soak/_pages.py
+++ b/apricotwalk_lab/soak/_pages.py
@@ -4,14 +4,26 @@
 
 import msgspec
 
-from apricotwalk.platform._names import CONFIGURATION_KEY, FIELD_NAMES, HEARTBEAT_PREFIX
+from apricotwalk.platform._names import (
+    CONFIGURATION_KEY,
+    FIELD_NAMES,
+    HEARTBEAT_PREFIX,
+    OPERATOR_TOPIC,
+    SETTINGS_VARIABLE,
+)
 
 __all__ = [
+    "BACKEND_PORT",
+    "CALLER_PORT",
     "CONFIGURATION_KEY",
     "FIELD_NAMES",
     "HEALTH_PATH",
+    "HEARTBEAT_PORT",
     "HEARTBEAT_PREFIX",
     "HOST",
+    "OPERATOR_TOPIC",
+    "SETTINGS_VARIABLE",
+    "STORE_PORT",
     "configuration",
     "heartbeat",
     "seal",
@@ -20,7 +32,10 @@
 
 HOST = "mesh.example"
 HEALTH_PATH = "/health"
+BACKEND_PORT = 8301
 CALLER_PORT = 8304
+HEARTBEAT_PORT = 8306
+STORE_PORT = 8309
 PEER_PORT = 7620
 
 # Bounds of the users' site files.
@@ -42,7 +57,7 @@
         "listen.inbound": f"{host}:8300",
         "listen.outbound": f"{host}:{CALLER_PORT}",
         "listen.ready": f"{host}:8302",
-        "listen.control": f"{host}:8306",
+        "listen.control": f"{host}:{HEARTBEAT_PORT}",
         "internal-ports": f"{PEER_PORT},{PEER_PORT + 15}",
         "seeds": "",
         "heartbeat-interval": "500ms",
@@ -52,9 +67,9 @@
         "bounds.budget-ratio": RETRY_RATIO,
         "bounds.budget-window": f"{RETRY_WINDOW_SECONDS}s",
         "bounds.budget-slack": RETRY_ALLOWANCE,
-        "app-addr": f"{host}:8301",
+        "app-addr": f"{host}:{BACKEND_PORT}",
         "service": service,
-        "platform.address": f"{host}:8309",
+        "platform.address": f"{host}:{STORE_PORT}",
     }
     return "".join(f"{key}={value}\n" for key, value in fields.items())
 
--- a/apricotwalk_lab/soak/_records.py
+++ b/apricotwalk_lab/soak/_records.py
@@ -5,6 +5,8 @@
 
 __all__ = ["Execution", "Records", "Try"]
 
+SUCCESS, REDIRECTION = 200, 300
+
 
 @dataclass(slots=True)
 class Try:
@@ -39,6 +41,11 @@
     is_whole: bool = True
     detail: str = ""
 
+    @property
+    def is_served(self) -> bool:
+        """Whether it was answered with a success."""
+        return SUCCESS <= self.status < REDIRECTION
+
 
 @dataclass(frozen=True, slots=True)
 class Execution:
--- a/apricotwalk_lab/soak/_run.py
+++ b/apricotwalk_lab/soak/_run.py
@@ -17,14 +17,14 @@
 
 __all__ = ["SoakReport", "run_soak"]
 
-STORE_PORT = 9000
+# Of the stand-in; nodes reach it over links of their own.
+STORE_STAND_IN_PORT = 9000
 CALLERS_PER_NODE = 2
 CALLER_RATE = 6.0
 START_LIMIT_SECONDS = 30.0
 # Service is back when so much of what was asked in a window succeeded.
 SERVED_SHARE = 0.9
 WINDOW_SECONDS = 2.0
-SUCCESS, REDIRECTION = 200, 300
 
 
 @dataclass(frozen=True, slots=True)
@@ -68,13 +68,13 @@
         chance = random.Random(plan.seed + 1)
         # Hosts of one run share all but the last part of their address.
         network = loopback_host().rpartition(".")[0]
-        self._store = StoreStandIn(f"{network}.250", STORE_PORT)
+        self._store = StoreStandIn(f"{network}.250", STORE_STAND_IN_PORT)
         self._places = [
             NodePlace(
                 f"n{number}",
                 service,
                 f"{network}.{number + 1}",
-                (f"{network}.250", STORE_PORT),
+                (f"{network}.250", STORE_STAND_IN_PORT),
                 directory,
                 self._records,
                 self._clock,
@@ -126,7 +126,7 @@
         if not is_back:
             broken.append(f"service is not back {recovery:.0f} s after the last fault")
         tries = self._records.tries
-        served = sum(SUCCESS <= entry.status < REDIRECTION for entry in tries)
+        served = sum(entry.is_served for entry in tries)
         return SoakReport(self._plan.seed, len(tries), served, recovery, tuple(broken))
 
     def _clock(self) -> float:
@@ -150,7 +150,7 @@
             began = self._clock()
             await asyncio.sleep(WINDOW_SECONDS)
             ended = [entry for entry in self._records.tries if entry.ended and entry.sent >= began]
-            served = sum(SUCCESS <= entry.status < REDIRECTION for entry in ended)
+            served = sum(entry.is_served for entry in ended)
             asking = {entry.node for entry in ended}
             if len(asking) == len(self._places) and served >= SERVED_SHARE * len(ended):
                 return True
--- a/apricotwalk_lab/soak/_server.py
+++ b/apricotwalk_lab/soak/_server.py
@@ -13,8 +13,10 @@
 
 from apricotwalk.core import Service
 from apricotwalk_lab.soak._pages import (
+    BACKEND_PORT,
     FIELD_NAMES,
     HEALTH_PATH,
+    HEARTBEAT_PORT,
     HEARTBEAT_PREFIX,
     heartbeat,
     seal,
@@ -163,13 +165,13 @@
 
     async def _report(self, state: str) -> bool:
         self._sequence += 1
-        address = f"{self._host}:8301"
+        address = f"{self._host}:{BACKEND_PORT}"
         body = heartbeat(self.service, address, SLOTS, state, self._sequence, self._born)
         return await self._call("PUT", body)
 
     async def _call(self, method: str, body: bytes | None) -> bool:
         """Send a status report and return whether it was acknowledged."""
-        url = f"http://{self._host}:8306{HEARTBEAT_PREFIX}{self.server_id}"
+        url = f"http://{self._host}:{HEARTBEAT_PORT}{HEARTBEAT_PREFIX}{self.server_id}"
         try:
             await self._client.fetch(
                 url, method=method, body=body, request_timeout=ACKNOWLEDGE_SECONDS
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -108,7 +108,6 @@
     return ConfigurationHolder(
         lambda key, value: by_value.get(value) if key == "config" else None,
         quiet_log(),
-        ManualClock(),
     )
 
 
