--- a/apricotwalk_lab/soak/_fleet.py
+++ b/apricotwalk_lab/soak/_fleet.py
@@ -98,7 +98,8 @@
         process = self._process
         if process is None or process.returncode is not None:
             return
-        self._is_expected_to_end = number in (signal.SIGKILL, signal.SIGTERM)
+        if number in (signal.SIGKILL, signal.SIGTERM):
+            self._is_expected_to_end = True
         process.send_signal(number)
 
     async def terminate(self) -> None:
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -1,11 +1,15 @@
 """The soak: its checks can fail, and a short seeded run of real processes keeps every promise."""
 
 import asyncio
+import random
+import signal
+from types import SimpleNamespace
 
 import pytest
 
 from apricotwalk_lab.soak import SoakPlan, draw_plan, run_soak
 from apricotwalk_lab.soak._checks import check
+from apricotwalk_lab.soak._fleet import NodePlace
 from apricotwalk_lab.soak._plan import Fault, FaultKind
 from apricotwalk_lab.soak._records import Execution, Records, Try
 
@@ -124,6 +128,26 @@
     assert {fault.kind for seed in range(60) for fault in draw_plan(seed).faults} == set(FaultKind)
 
 
+def test_a_planned_end_is_no_end_of_its_own_whatever_signal_follows(tmp_path):
+    """Seed 209: SIGHUP came while the node stopped after SIGTERM."""
+    place = NodePlace(
+        "n0",
+        "menu",
+        "127.0.0.1",
+        ("127.0.0.1", 1),
+        tmp_path,
+        Records(),
+        lambda: 0.0,
+        random.Random(1),
+    )
+    place._process = SimpleNamespace(returncode=None, send_signal=lambda number: None)
+    place.send(signal.SIGHUP)
+    assert not place._is_expected_to_end
+    place.send(signal.SIGTERM)
+    place.send(signal.SIGHUP)
+    assert place._is_expected_to_end
+
+
 @pytest.mark.processes
 def test_a_short_run_of_real_processes_keeps_every_promise(tmp_path):
     report = asyncio.run(run_soak(draw_plan(SHORT_SEED, 5), tmp_path))
