--- a/apricotwalk/border/_fields.py
+++ b/apricotwalk/border/_fields.py
@@ -27,6 +27,11 @@
         Numbers of running requests, waiting requests and slots, separated by commas.
     server_incarnation : str
         Incarnation of the backend server that answers a health check.
+    announced_rate : str
+        Requests per second that a backend server in need accepts from all nodes together; absent
+        from its answers otherwise.
+    leaving : str
+        Present in the answers of a backend server that shuts down soon.
     """
 
     request_id: str
@@ -37,3 +42,5 @@
     not_run: str
     load: str
     server_incarnation: str
+    announced_rate: str
+    leaving: str
--- a/apricotwalk/forwarding/_backend_registry.py
+++ b/apricotwalk/forwarding/_backend_registry.py
@@ -6,6 +6,7 @@
 
 from apricotwalk.border import Heartbeat, HeartbeatCall, MeshSettings
 from apricotwalk.core import Clock
+from apricotwalk.forwarding._announcements import ServerAnnouncement
 from apricotwalk.telemetry import DecisionLog
 
 __all__ = ["BackendRegistry", "KnownServer"]
@@ -25,10 +26,19 @@
         Identifier of the incarnation.
     slots : int
         Number of requests that it runs concurrently.
+    started_ms : int
+        Unix time of its start in milliseconds, or 0 if no heartbeat has stated it yet.
     """
 
     server: str
     slots: int
+    started_ms: int = 0
+
+    def is_same_start(self, server: str, started_ms: int) -> bool:
+        """Return whether another description of a server can be of this start of it."""
+        if server != self.server:
+            return False
+        return started_ms == self.started_ms or 0 in (started_ms, self.started_ms)
 
 
 class BackendRegistry:
@@ -61,6 +71,8 @@
         self.current: KnownServer | None = None
         self.is_leaving = False
         self.leaving_since = 0.0
+        self.announced_rate: float | None = None
+        self._is_rate_readable = True
         self.on_change: Callable[[], None] = lambda: None
         self.server_known = asyncio.Event()
 
@@ -76,6 +88,19 @@
         if self._newest_heartbeat is None and self.current is None and not self.is_leaving:
             self._set_current(KnownServer(server, slots), "health check")
 
+    def record_answer(self, known_server: KnownServer, announcement: ServerAnnouncement) -> None:
+        """Apply what a server announced in an answer; a former server's answer has no effect."""
+        current = self.current
+        if current is None or not current.is_same_start(
+            known_server.server, known_server.started_ms
+        ):
+            return
+        if announcement.has_readable_rate:
+            self._set_announced_rate(announcement.requests_per_second)
+        elif self._is_rate_readable:
+            self._log.record_state_change("server-limit-unreadable", server=current.server)
+        self._is_rate_readable = announcement.has_readable_rate
+
     def mark_lost(self, reason: str) -> None:
         """Mark the server as lost until a newer heartbeat or a health check reports it."""
         if self.current is None:
@@ -92,7 +117,7 @@
         if heartbeat.is_leaving:
             self._start_leaving("draining")
             return
-        known = KnownServer(heartbeat.server, heartbeat.slots)
+        known = KnownServer(heartbeat.server, heartbeat.slots, heartbeat.started_ms)
         if known != self.current or self.is_leaving:
             self._set_current(known, "heartbeat")
 
@@ -142,6 +167,18 @@
         self._log.record_state_change("server-leaving", server=server, reason=reason)
         self.on_change()
 
+    def _set_announced_rate(self, requests_per_second: float | None) -> None:
+        previous = self.announced_rate
+        if requests_per_second == previous:
+            return
+        self.announced_rate = requests_per_second
+        self._log.record_state_change(
+            "server-limit-changed",
+            server=self.current.server if self.current is not None else "",
+            requests_per_second=requests_per_second,
+            former=previous,
+        )
+
     def _set_current(self, known: KnownServer, source: str) -> None:
         previous = self.current
         self.current = known
--- a/apricotwalk/forwarding/_server_side.py
+++ b/apricotwalk/forwarding/_server_side.py
@@ -6,6 +6,7 @@
 from apricotwalk.admission import AdmissionController, Outcome, Permit, WorkItem
 from apricotwalk.border import HeaderFieldNames
 from apricotwalk.core import CallFailure, Verdict
+from apricotwalk.forwarding._announcements import AnnouncementReader
 from apricotwalk.forwarding._backend_pool import BackendPool
 from apricotwalk.forwarding._backend_registry import BackendRegistry, KnownServer
 from apricotwalk.forwarding._deadlines import to_loop_time
@@ -70,6 +71,7 @@
         self._signature_field = fields.signature.lower().encode()
         self._not_run_field = fields.not_run.lower().encode()
         self._load_field = fields.load.lower().encode()
+        self._announcements = AnnouncementReader(fields)
         self._log = log
         self._metrics = metrics
         self.reported_load = 0.0
@@ -176,6 +178,7 @@
             message.caller_service, message.route, message.method, message.target, message.body
         )
         run_id = f"{message.call} {message.request_id}"
+        self._metrics.count_sent(message.is_repeat)
         async with self._crash_watch.run(run_id, request_fingerprint, message.service, self._pool):
             answer = await self._pool.send(
                 message.method,
@@ -185,7 +188,7 @@
                 message.request_id,
                 message.at_most_once,
             )
-        self._validate_answer(answer)
+        self._validate_answer(answer, known_server)
         return answer
 
     def _request_fields(
@@ -202,12 +205,15 @@
             )
         )
 
-    def _validate_answer(self, answer: ServerAnswer) -> None:
+    def _validate_answer(self, answer: ServerAnswer, known_server: KnownServer) -> None:
         """Raise `CallFailure` if the server refused the request or the answer is damaged."""
         values = answer.values_by_name
         load = values.get(self._load_field)
         if load is not None:
             self._update_reported_load(load)
+        is_own_answer = self._signature_field in values or self._not_run_field in values
+        if is_own_answer and answer.status != MISDIRECTED_STATUS:
+            self._registry.record_answer(known_server, self._announcements.read(answer))
         if self._not_run_field in values or answer.status == MISDIRECTED_STATUS:
             if answer.status == MISDIRECTED_STATUS:
                 self._registry.mark_lost("another incarnation answered")
--- a/apricotwalk/meshnode/_node.py
+++ b/apricotwalk/meshnode/_node.py
@@ -4,6 +4,7 @@
 import random
 import time
 from contextlib import suppress
+from math import inf
 
 from apricotwalk.admission import AnnouncedLimit, RankQueueController
 from apricotwalk.border import MeshSettings, Platform, RouteConfiguration
@@ -129,6 +130,8 @@
                 platform.fields.not_run,
                 platform.fields.load,
                 platform.fields.server_incarnation,
+                platform.fields.announced_rate,
+                platform.fields.leaving,
                 "Content-Encoding",
             ),
         )
@@ -394,6 +397,8 @@
         self.metrics.configuration_version.set(self.configuration.version)
         self.metrics.members.set(len(self.members.all_members()))
         self.metrics.load.set(self.admission.load())
+        announced_rate = self.registry.announced_rate
+        self.metrics.announced_rate.set(inf if announced_rate is None else announced_rate)
 
     async def _probe_backend(self) -> None:
         """Detect a server that is already running, as after a restart of this node only."""
--- a/apricotwalk/metrics/_mesh_metrics.py
+++ b/apricotwalk/metrics/_mesh_metrics.py
@@ -54,6 +54,17 @@
             "Work in flight and waiting over the limit of the backend server.",
             registry=self._registry,
         )
+        self.announced_rate = Gauge(
+            "apricotwalk_announced_rate",
+            "Requests per second that the backend server announces as its limit; +Inf if none.",
+            registry=self._registry,
+        )
+        self._sent = Counter(
+            "apricotwalk_server_requests",
+            "Requests sent to the backend server.",
+            ["is_repeat"],
+            registry=self._registry,
+        )
         self._routes: set[str] = set()
 
     def count_answer(self, route: str, status: int, seconds: float) -> None:
@@ -69,6 +80,10 @@
         """Count the outcome of a forwarded request by its cause."""
         self._outcomes.labels(cause).inc()
 
+    def count_sent(self, is_repeat: bool) -> None:
+        """Count a request that is sent to the backend server."""
+        self._sent.labels(str(is_repeat).lower()).inc()
+
     def observe_server_seconds(self, seconds: float) -> None:
         """Record the response time of the backend server in seconds."""
         self._server_seconds.observe(seconds)
--- a/apricotwalk/platform/_names.py
+++ b/apricotwalk/platform/_names.py
@@ -23,7 +23,7 @@
 
 # "Attempt-Id" identifies one attempt of a caller, not the caller's request, which may have several
 # attempts.  "Deadline-Ms" is a remaining time, not a point in time.  "Server-Seal" signs the body,
-# and only the platform can verify it.
+# and only the platform can verify it.  "Server-Limit" is a rate, not a number of slots.
 HEADER_FIELD_NAMES = HeaderFieldNames(
     request_id="Attempt-Id",
     deadline_ms="Deadline-Ms",
@@ -33,4 +33,6 @@
     not_run="Not-Executed",
     load="Server-Load",
     server_incarnation="Instance-Id",
+    announced_rate="Server-Limit",
+    leaving="Server-Leaving",
 )
--- a/tests/mesh_fakes.py
+++ b/tests/mesh_fakes.py
@@ -24,7 +24,18 @@
 from apricotwalk.platform._heartbeats import StatusReportReader
 from apricotwalk.settings import Address
 
-FIELDS = HeaderFieldNames("Id", "Deadline", "Expect", "Caller", "Seal", "Refused", "Load", "Server")
+FIELDS = HeaderFieldNames(
+    "Id",
+    "Deadline",
+    "Expect",
+    "Caller",
+    "Seal",
+    "Refused",
+    "Load",
+    "Server",
+    announced_rate="Limit",
+    leaving="Leaving",
+)
 LIMITS = CallerLimits(4096, 65_536, 1.0, 10.0)
 
 
