Pace requests to the rate that a server announces, beside the server

Class of fault: a limit in a unit that admission does not have; slots bound concurrency, not a rate.

Every request to a server passes the admission of the node beside it: first attempts, repeats, redirects and quarantine trials. AnnouncedRate paces them there with a token bucket, so the sum over all callers holds without messages. Work beyond the rate waits for 0.25 s at most, the most urgent first, and is otherwise refused as not run, which senders answer by another server. They hold back equally urgent work from the refusing node for 0.2 s.

A restarted node knows no limit. Replies therefore carry what the server announces, and requests carry it back, so that the new process applies it before it passes on a request of a node that knows it. The limit belongs to one start of a server and ends with the first answer without one.

The fake server of the tests read a connection twice after a delay, which closed it; it waits for the first read to end now.

--- a/apricotwalk/admission/__init__.py
+++ b/apricotwalk/admission/__init__.py
@@ -1,5 +1,6 @@
 """Admission control: which calls a backend server runs, in which order, and which are shed."""
 
+from apricotwalk.admission._announced_rate import AnnouncedRate
 from apricotwalk.admission._arrival_order import ArrivalOrderController
 from apricotwalk.admission._concurrency_limit import AnnouncedLimit, ConcurrencyLimit, Limit
 from apricotwalk.admission._demand import DemandByLevel, ReservedCapacity
@@ -27,6 +28,7 @@
     "MOST_URGENT_RANK",
     "AdmissionController",
     "AnnouncedLimit",
+    "AnnouncedRate",
     "ArrivalOrderController",
     "ConcurrencyLimit",
     "DemandByLevel",
--- a/apricotwalk/admission/_rank_queue.py
+++ b/apricotwalk/admission/_rank_queue.py
@@ -3,6 +3,7 @@
 import asyncio
 from collections.abc import Collection
 
+from apricotwalk.admission._announced_rate import AnnouncedRate
 from apricotwalk.admission._concurrency_limit import ConcurrencyLimit, Limit
 from apricotwalk.admission._demand import DemandByLevel, ReservedCapacity
 from apricotwalk.admission._interface import (
@@ -53,6 +54,8 @@
 RESPONSE_TRANSIT_SECONDS = 0.04
 # The admitted level changes no faster than in a tenth of the time constant of demand.
 LEVEL_CACHE_SECONDS = 0.05
+# A timer may fire slightly early, and the clock may not have advanced when it does.
+MIN_TIMER_SECONDS = 0.001
 # After twice the time constant of demand, the queue holds other calls.
 SHED_RETRY_AFTER_SECONDS = 1.0
 
@@ -94,7 +97,7 @@
 
 
 class RankQueueController(AdmissionController):
-    """Run calls within a concurrency limit, the most urgent first, and guarantee every floor.
+    """Run calls within a concurrency limit and an announced rate, the most urgent first.
 
     Parameters
     ----------
@@ -112,6 +115,10 @@
     callers.  A call that cannot complete by its deadline, according to measured times, is shed
     before it runs.
 
+    While the server announces a rate, calls also start no faster than that, whatever their
+    number in flight, and only as many wait as can start soon.  Calls beyond that are refused with
+    cause ``rate-limited``, the least urgent first.  Every floor is guaranteed within the limits.
+
     The admitted level is the highest level up to which the measured demand fits into the limit,
     less the slots reserved for floors and those needed to drain the queue.
 
@@ -135,6 +142,8 @@
         self._demand = DemandByLevel(DEMAND_TIME_CONSTANT_SECONDS)
         self._shares = FairShares(FLOOR_TIME_CONSTANT_SECONDS)
         self._queue = WorkQueue()
+        self._rate = AnnouncedRate(clock)
+        self._rate_timer: asyncio.TimerHandle | None = None
         self._slack_seconds = INITIAL_SLACK_SECONDS
         self._permit_count = 0
         self._occupied_slots = 0
@@ -149,7 +158,7 @@
             self._record_demand(item, cost, now)
         if self._is_infeasible(item, now) and not self._times.try_probe(item.route, now):
             raise _deadline_failure()
-        if self._occupied_slots < self._limit.value and not len(self._queue):
+        if self._may_start() and not len(self._queue):
             return self._grant(item, cost)
         self._ensure_queue_space(item)
         work = QueuedWork(item, cost, asyncio.get_running_loop().create_future())
@@ -163,9 +172,24 @@
         self._limit.set_slots(slots)
         self._start_queued()
 
+    def set_announced_rate(self, requests_per_second: float | None) -> None:
+        """Set the rate that the server announces, shed excess calls and start those that fit."""
+        self._rate.set_rate(requests_per_second)
+        excess_count = int(max(0, len(self._queue) - self._max_queue_length()))
+        for _ in range(excess_count):
+            last = self._queue.last(self._is_protected)
+            if last is None:
+                break
+            last.slot_granted.set_exception(self._full_queue_failure("the limit has fallen"))
+        self._start_queued()
+
     def load(self) -> float:
-        """Return the number of running and queued calls relative to the limit."""
-        return (self._occupied_slots + len(self._queue)) / self._limit.value
+        """Return the load relative to the limit, or to the announced rate if that is higher."""
+        slot_load = (self._occupied_slots + len(self._queue)) / self._limit.value
+        if not self._rate.is_limited:
+            return slot_load
+        rate_load = self._rate.utilization() + len(self._queue) / max(1, self._max_queue_length())
+        return max(slot_load, rate_load)
 
     def in_flight(self) -> int:
         """Return the number of permits that are not yet released."""
@@ -261,6 +285,7 @@
     def _begin(self, item: WorkItem, cost: float) -> None:
         self._permit_count += 1
         self._occupied_slots += 1
+        self._rate.consume()
         if item.floor:
             self._shares.charge(item.stream, cost, self._limit.value, self.clock.monotonic())
 
@@ -293,11 +318,21 @@
             return
         last = self._queue.last(self._is_protected)
         if last is None or (item.rank, item.deadline) >= (last.item.rank, last.item.deadline):
-            raise _shed_failure("the queue is full")
-        last.slot_granted.set_exception(_shed_failure("gave way to more urgent work"))
+            raise self._full_queue_failure("the queue is full")
+        last.slot_granted.set_exception(self._full_queue_failure("gave way to more urgent work"))
 
-    def _max_queue_length(self) -> int:
-        return max(MIN_QUEUE_LENGTH, QUEUE_LENGTH_PER_SLOT * self._limit.value)
+    def _max_queue_length(self) -> float:
+        slot_length = max(MIN_QUEUE_LENGTH, QUEUE_LENGTH_PER_SLOT * self._limit.value)
+        return min(slot_length, self._rate.max_queue_length())
+
+    def _full_queue_failure(self, detail: str) -> CallFailure:
+        cause = "rate-limited" if self._rate.is_limited else "shed"
+        return CallFailure(
+            Verdict.NOT_RUN, cause, detail, 503, retry_after=SHED_RETRY_AFTER_SECONDS
+        )
+
+    def _may_start(self) -> bool:
+        return self._occupied_slots < self._limit.value and self._rate.is_available()
 
     def _is_protected(self, item: WorkItem) -> bool:
         """Return whether the floor of the item's stream reserves a place in a full queue."""
@@ -307,7 +342,7 @@
         return self._queue.count(item.stream) <= reserved_length
 
     def _start_queued(self) -> None:
-        while self._occupied_slots < self._limit.value:
+        while self._may_start():
             work = self._first_due_by_floor() or self._queue.first()
             if work is None:
                 return
@@ -316,6 +351,22 @@
                 continue
             self._begin(work.item, work.cost_seconds)
             work.slot_granted.set_result(None)
+        self._schedule_start()
+
+    def _schedule_start(self) -> None:
+        """Start the next queued call when the announced rate allows it."""
+        if self._rate_timer is not None or self._queue.first() is None:
+            return
+        if self._occupied_slots >= self._limit.value:
+            return  # the next call that completes starts it
+        delay_seconds = max(MIN_TIMER_SECONDS, self._rate.seconds_until_available())
+        self._rate_timer = asyncio.get_running_loop().call_later(
+            delay_seconds, self._start_on_timer
+        )
+
+    def _start_on_timer(self) -> None:
+        self._rate_timer = None
+        self._start_queued()
 
     def _first_due_by_floor(self) -> QueuedWork | None:
         if not self._uses_fair_shares:
@@ -327,9 +378,5 @@
         return self._shares.is_due(stream, cost_seconds, self._limit.value, now)
 
 
-def _shed_failure(detail: str) -> CallFailure:
-    return CallFailure(Verdict.NOT_RUN, "shed", detail, 503, retry_after=SHED_RETRY_AFTER_SECONDS)
-
-
 def _deadline_failure() -> CallFailure:
     return CallFailure(Verdict.NOT_RUN, "deadline-passed", "cannot be done by its deadline", 504)
--- /dev/null
+++ b/apricotwalk/core/_server_notice.py
@@ -0,0 +1,23 @@
+"""What a backend server announced about itself, as exchanged between nodes."""
+
+from msgspec import Struct
+
+__all__ = ["ServerNotice"]
+
+
+class ServerNotice(Struct, frozen=True, array_like=True):
+    """What one start of a backend server announced about itself.
+
+    Parameters
+    ----------
+    server : str
+        Incarnation of the backend server.
+    started_ms : int
+        Unix time of its start in milliseconds, or 0 if unknown.
+    requests_per_second : float or None
+        Requests per second that it accepts from all nodes together, or None for no limit.
+    """
+
+    server: str
+    started_ms: int
+    requests_per_second: float | None
--- a/apricotwalk/forwarding/__init__.py
+++ b/apricotwalk/forwarding/__init__.py
@@ -1,5 +1,6 @@
 """Request forwarding through a mesh, from a caller to a backend server and back."""
 
+from apricotwalk.forwarding._announcements import ServerAnnouncement
 from apricotwalk.forwarding._backend_pool import BackendPool
 from apricotwalk.forwarding._backend_registry import BackendRegistry
 from apricotwalk.forwarding._failure_responses import failure_response
@@ -17,6 +18,7 @@
     "OutgoingRequest",
     "RetryAfterPolicy",
     "RetryAllowance",
+    "ServerAnnouncement",
     "ServerSideExecutor",
     "failure_response",
 ]
--- a/apricotwalk/forwarding/_backend_registry.py
+++ b/apricotwalk/forwarding/_backend_registry.py
@@ -5,7 +5,7 @@
 from dataclasses import dataclass
 
 from apricotwalk.border import Heartbeat, HeartbeatCall, MeshSettings
-from apricotwalk.core import Clock
+from apricotwalk.core import Clock, ServerNotice
 from apricotwalk.forwarding._announcements import ServerAnnouncement
 from apricotwalk.telemetry import DecisionLog
 
@@ -59,7 +59,8 @@
     heartbeat with the larger sequence number wins, so a heartbeat delayed by a partition changes
     nothing.  A node that has just started knows no server until a heartbeat or a health check
     reports one, so what an earlier node process acknowledged, such as a departure, remains in
-    effect.
+    effect.  The limit that the server announced reaches such a node with the first request of
+    each node that knows it.
     """
 
     def __init__(self, settings: MeshSettings, log: DecisionLog, clock: Clock) -> None:
@@ -71,6 +72,8 @@
         self.current: KnownServer | None = None
         self.is_leaving = False
         self.leaving_since = 0.0
+        self._last_known: KnownServer | None = None
+        self._has_answered = False
         self.announced_rate: float | None = None
         self._is_rate_readable = True
         self.on_change: Callable[[], None] = lambda: None
@@ -95,12 +98,28 @@
             known_server.server, known_server.started_ms
         ):
             return
+        self._has_answered = True
         if announcement.has_readable_rate:
             self._set_announced_rate(announcement.requests_per_second)
         elif self._is_rate_readable:
             self._log.record_state_change("server-limit-unreadable", server=current.server)
         self._is_rate_readable = announcement.has_readable_rate
 
+    def notice(self) -> ServerNotice | None:
+        """Return what the current server announces, or None if that is nothing."""
+        current = self.current
+        if current is None or self.announced_rate is None:
+            return None
+        return ServerNotice(current.server, current.started_ms, self.announced_rate)
+
+    def apply_notice(self, notice: ServerNotice) -> None:
+        """Apply a notice from another node until the server itself has answered."""
+        current = self.current
+        if self._has_answered or current is None:
+            return
+        if current.is_same_start(notice.server, notice.started_ms):
+            self._set_announced_rate(notice.requests_per_second)
+
     def mark_lost(self, reason: str) -> None:
         """Mark the server as lost until a newer heartbeat or a health check reports it."""
         if self.current is None:
@@ -178,10 +197,15 @@
             requests_per_second=requests_per_second,
             former=previous,
         )
+        self.on_change()
 
     def _set_current(self, known: KnownServer, source: str) -> None:
         previous = self.current
-        self.current = known
+        last = self._last_known
+        if last is None or not last.is_same_start(known.server, known.started_ms):
+            self.announced_rate = None
+            self._has_answered = False
+        self.current = self._last_known = known
         self.is_leaving = False
         self.server_known.set()
         self._log.record_state_change(
--- a/apricotwalk/forwarding/_forwarder.py
+++ b/apricotwalk/forwarding/_forwarder.py
@@ -6,7 +6,7 @@
 from dataclasses import dataclass, field
 
 from apricotwalk.border import Route
-from apricotwalk.core import CallFailure, Execution, Verdict
+from apricotwalk.core import CallFailure, Execution, ServerNotice, Verdict
 from apricotwalk.fleet import FleetMembers
 from apricotwalk.forwarding._server_side import ServerSideExecutor
 from apricotwalk.membership import Member
@@ -121,6 +121,7 @@
         self._server_side = server_side
         self._quarantine = quarantine
         self._log = log
+        self._notices_by_instance: dict[str, ServerNotice] = {}
         self.caller_service = caller_service
         self.systemic_failures = SystemicFailureDetector()
         self.clock: Callable[[], float] = time.monotonic
@@ -192,6 +193,9 @@
         if cause in REDIRECT_CAUSES and verdict is Verdict.NOT_RUN:
             request.redirects += 1
             return request.redirects <= MAX_REDIRECT_COUNT
+        if cause == "rate-limited" and verdict is Verdict.NOT_RUN:
+            request.redirects += 1
+            return request.redirects <= MAX_REDIRECT_COUNT and self._has_open_member(request)
         if cause == "shed" and not request.redirects:
             request.redirects += 1
             return True
@@ -235,15 +239,32 @@
             await asyncio.sleep(MEMBER_POLL_INTERVAL_SECONDS)
 
     def _choose_member(self, request: OutgoingRequest) -> Member | None:
-        members = [
+        reachable_members = self._reachable_members(request.service)
+        members = self._without_held(reachable_members, request)
+        if reachable_members and not members:
+            raise CallFailure(
+                Verdict.NOT_RUN,
+                "rate-limited",
+                f"every server of {request.service} has reached its announced rate",
+            )
+        return self._selector.choose(members, request.tried_instances) or self._selector.choose(
+            members, set()
+        )
+
+    def _has_open_member(self, request: OutgoingRequest) -> bool:
+        return bool(self._without_held(self._reachable_members(request.service), request))
+
+    def _without_held(self, members: list[Member], request: OutgoingRequest) -> list[Member]:
+        rank = request.route.rank
+        return [m for m in members if not self._selector.is_held(m.instance, rank)]
+
+    def _reachable_members(self, service: str) -> list[Member]:
+        return [
             member
-            for member in self._members.members(request.service)
+            for member in self._members.members(service)
             if member.instance == self._members.own.instance
             or self._links.is_reachable(member.address)
         ]
-        return self._selector.choose(members, request.tried_instances) or self._selector.choose(
-            members, set()
-        )
 
     def _to_message(self, request: OutgoingRequest) -> ForwardMessage:
         route = request.route
@@ -262,6 +283,7 @@
             body=request.body,
             caller_service=self.caller_service,
             suspects=self._quarantine.suspects(),
+            notice=self._notices_by_instance.get(request.member),
         )
 
     async def _send(self, member: Member, message: ForwardMessage) -> ReplyMessage:
@@ -279,5 +301,15 @@
             self._selector.record_call_abandoned(member.instance)
             raise
         self._quarantine.merge(reply.suspects)
+        self._record_notice(member.instance, reply)
         self._selector.record_answer(member.instance, message.route, reply, self.clock() - began)
+        if reply.cause == "rate-limited":
+            self._selector.hold(member.instance, message.rank)
         return reply
+
+    def _record_notice(self, instance: str, reply: ReplyMessage) -> None:
+        """Keep the newest notice of an instance; a refusal without one says nothing about it."""
+        if reply.notice is not None:
+            self._notices_by_instance[instance] = reply.notice
+        elif reply.verdict is Verdict.COMPLETED:
+            self._notices_by_instance.pop(instance, None)
--- a/apricotwalk/forwarding/_retry_after.py
+++ b/apricotwalk/forwarding/_retry_after.py
@@ -16,7 +16,9 @@
 MIN_JITTER = 0.75
 MAX_JITTER = 1.25
 # Refusals for lack of capacity or retry budget last as long as the surge or the fault.
-LASTING_CAUSES = frozenset({"shed", "deadline-passed", "retry-budget", "backend-refused"})
+LASTING_CAUSES = frozenset(
+    {"shed", "rate-limited", "deadline-passed", "retry-budget", "backend-refused"}
+)
 
 
 class RetryAfterPolicy:
--- a/apricotwalk/forwarding/_server_side.py
+++ b/apricotwalk/forwarding/_server_side.py
@@ -101,6 +101,7 @@
                 load=self._admission.load(),
                 reported_load=self.reported_load,
                 suspects=self._crash_watch.registry.suspects(),
+                notice=self._registry.notice(),
             )
         self._metrics.count_server_side_outcome("completed")
         return ReplyMessage(
@@ -112,6 +113,7 @@
             answer.body,
             self._admission.load(),
             self.reported_load,
+            notice=self._registry.notice(),
         )
 
     async def _run(self, message: ForwardMessage) -> ServerAnswer:
@@ -119,6 +121,8 @@
         if message.service != self._registry.settings.service:
             raise CallFailure(Verdict.NOT_RUN, "no-server", "another service runs here")
         self._crash_watch.registry.merge(message.suspects)
+        if message.notice is not None:
+            self._registry.apply_notice(message.notice)
         self._require_server(0.0)
         self._require_retry_allowance(message)
         permit = await self._admission.acquire(_to_work_item(message, deadline))
--- a/apricotwalk/meshnode/_node.py
+++ b/apricotwalk/meshnode/_node.py
@@ -339,6 +339,7 @@
         registry = self.registry
         if registry.current is not None:
             self.admission.set_slots(registry.current.slots)
+        self.admission.set_announced_rate(registry.announced_rate)
         if self.is_stopping:
             return
         if registry.is_leaving:
--- a/apricotwalk/peering/_messages.py
+++ b/apricotwalk/peering/_messages.py
@@ -8,7 +8,7 @@
 import msgspec
 from msgspec import Struct
 
-from apricotwalk.core import Suspect, Verdict, decode_payload
+from apricotwalk.core import ServerNotice, Suspect, Verdict, decode_payload
 from apricotwalk.membership import Member
 
 __all__ = [
@@ -93,6 +93,8 @@
         Service of the instance at which the request entered the mesh.
     suspects : list of Suspect
         Requests that the sender suspects of crashing backend servers.
+    notice : ServerNotice or None
+        Newest notice of the receiver's backend server that the sender received in a reply.
     """
 
     call: int
@@ -109,6 +111,7 @@
     body: bytes
     caller_service: str
     suspects: list[Suspect] = []
+    notice: ServerNotice | None = None
 
 
 class ReplyMessage(Struct, frozen=True, array_like=True, tag=5):
@@ -134,6 +137,8 @@
         Load reported by the backend server.
     suspects : list of Suspect
         Requests that the answering node suspects of crashing backend servers.
+    notice : ServerNotice or None
+        What the backend server currently announces, None if that is nothing or is not known.
     """
 
     call: int
@@ -145,6 +150,7 @@
     load: float = 0.0
     reported_load: float = 0.0
     suspects: list[Suspect] = []
+    notice: ServerNotice | None = None
 
 
 class CancelMessage(Struct, frozen=True, array_like=True, tag=6):
--- a/apricotwalk/routing/_selector.py
+++ b/apricotwalk/routing/_selector.py
@@ -26,6 +26,8 @@
 # If more than half of a service's members fail, ejecting them only shifts their load to the rest.
 MAX_EJECTED_SHARE = 0.5
 MIN_SERVER_ERROR_STATUS = 500
+# A node that refuses work for the rate of its server has 0.25 s of work queued.
+RATE_HOLD_SECONDS = 0.2
 
 
 class AnswerReport(Protocol):
@@ -126,7 +128,7 @@
         if answer.cause in ("leaving", "backend-unreachable"):
             statistics.eject(now)
             return
-        if answer.cause == "shed":
+        if answer.cause in ("shed", "rate-limited"):
             return
         has_failed = bool(answer.cause) or answer.status >= MIN_SERVER_ERROR_STATUS
         statistics.observe_outcome(has_failed)
@@ -153,6 +155,18 @@
         statistics.observe_outcome(True)
         self._eject_outlier(statistics, now)
 
+    def hold(self, instance: str, rank: int) -> None:
+        """Send no more work of `rank` or less urgent to an instance that refused it for its rate.
+
+        The hold ends before the queue of the instance is empty.
+        """
+        now = self._clock.monotonic()
+        self._statistics(instance).hold(rank, now + RATE_HOLD_SECONDS, now)
+
+    def is_held(self, instance: str, rank: int) -> bool:
+        """Return whether work of `rank` is currently held back from an instance."""
+        return self._statistics(instance).is_held(rank, self._clock.monotonic())
+
     def _without_ejected(
         self, candidates: list[Member], member_count: int, now: float
     ) -> list[Member]:
--- a/apricotwalk/routing/_statistics.py
+++ b/apricotwalk/routing/_statistics.py
@@ -58,6 +58,10 @@
         to `MAX_EJECTION_SECONDS`.
     incarnation : int
         Newest known incarnation of the member.
+    held_until : float
+        Monotonic time until which work of `held_rank` or less urgent is not sent to the member.
+    held_rank : int
+        Rank of the most urgent work that the member refused during the current hold.
     """
 
     joined_at: float
@@ -71,6 +75,8 @@
     ejected_until: float = 0.0
     consecutive_ejections: int = 0
     incarnation: int = 0
+    held_until: float = 0.0
+    held_rank: int = 0
 
     def begin(self, now: float) -> None:
         """Count a call that was sent to the member."""
@@ -145,5 +151,14 @@
         self.joined_at = self.ejected_until
         self.failure_rate = EJECTION_FAILURE_RATE
 
+    def hold(self, rank: int, until: float, now: float) -> None:
+        """Hold back work of `rank` or less urgent until a monotonic time."""
+        self.held_rank = min(rank, self.held_rank) if now < self.held_until else rank
+        self.held_until = until
+
+    def is_held(self, rank: int, now: float) -> bool:
+        """Return whether work of `rank` is held back at present."""
+        return now < self.held_until and rank >= self.held_rank
+
     def _decay(self, now: float) -> float:
         return math.exp(-max(0.0, now - self.observed_at) / DECAY_SECONDS)
--- a/tests/mesh_fakes.py
+++ b/tests/mesh_fakes.py
@@ -281,6 +281,7 @@
             self.aborted_count += 1
             raise ConnectionError
         disconnect.cancel()
+        await asyncio.wait({disconnect})
 
 
 async def read_message(reader):
--- a/tests/test_mesh_path.py
+++ b/tests/test_mesh_path.py
@@ -1,76 +1,16 @@
 """Tests of requests that pass from callers through mesh nodes to backend servers."""
 
 import asyncio
-from contextlib import asynccontextmanager
 from dataclasses import replace
 
-from apricotwalk.core import Execution
 from apricotwalk.meshnode import MeshNode
 from tests.mesh_fakes import (
     FakeCaller,
-    FakePlatform,
     FakeResponse,
-    FakeServer,
-    FakeStore,
     new_configuration,
     new_route,
 )
-
-MENU = new_route("menu", "menu-svc")
-DISPATCH = new_route("dispatch", "dispatch-svc", Execution.AT_MOST_ONCE)
-
-
-FIRST_VERSION = new_configuration(1, MENU, DISPATCH)
-
-
-class Mesh:
-    """Mesh nodes that share a store, each with a backend server beside it."""
-
-    def __init__(self):
-        self.store = FakeStore()
-        self.nodes = {}
-        self.servers = {}
-
-    async def add(self, instance, service, zone="a", **bounds):
-        platform = FakePlatform(self.store, service, instance, zone, **bounds)
-        server = FakeServer(platform.settings.backend, f"s-{instance}")
-        await server.start()
-        self.servers[instance] = server
-        node = MeshNode(platform)
-        await node.start()
-        self.nodes[instance] = node
-        return node
-
-    async def wait_until_converged(self, count):
-        """Wait until every node has a configuration and lists `count` alive members."""
-        while not all(self._has_converged(node, count) for node in self.nodes.values()):
-            await asyncio.sleep(0.01)
-
-    async def caller(self, instance):
-        return await FakeCaller(self.nodes[instance].settings.callers).open()
-
-    async def close(self):
-        for node in self.nodes.values():
-            await node.close()
-        for server in self.servers.values():
-            await server.close()
-
-    def _has_converged(self, node, count):
-        alive = [m for m in node.members.all_members() if m.state.name == "ALIVE"]
-        return node.configuration.version > 0 and len(alive) == count
-
-
-@asynccontextmanager
-async def running_mesh(*members, version=FIRST_VERSION, **bounds):
-    mesh = Mesh()
-    mesh.store.publish(version)
-    try:
-        for instance, service in members:
-            await mesh.add(instance, service, **bounds)
-        await mesh.wait_until_converged(len(members))
-        yield mesh
-    finally:
-        await mesh.close()
+from tests.mesh_harness import DISPATCH, MENU, Mesh, running_mesh
 
 
 def test_request_is_forwarded_through_two_nodes_and_its_response_returned_unchanged(run):
