Treat a server that says in an answer that it leaves as leaving

Callers could be sent to a server that was about to exit: of the new reading of DRAIN, an answer with the announcement binds the node that passed it on, but only heartbeats and departure notices were read.

Cause: the same as with the limit, an announcement in the answers that no node used, and that a restarted node could not know. Trace: with a server that announces its leaving and a health check that still passes, 18 requests reached it after the restart of its node.

The node beside the server marks it as leaving for good: a server does not return from that, so neither a later heartbeat nor an answer of the same start reinstates it. Notices between nodes carry it too, so a restarted node refuses the requests of each node that passed on such an answer.

--- a/apricotwalk/core/_server_notice.py
+++ b/apricotwalk/core/_server_notice.py
@@ -16,8 +16,11 @@
         Unix time of its start in milliseconds, or 0 if unknown.
     requests_per_second : float or None
         Requests per second that it accepts from all nodes together, or None for no limit.
+    is_leaving : bool
+        Whether it shuts down soon and accepts no new requests.
     """
 
     server: str
     started_ms: int
     requests_per_second: float | None
+    is_leaving: bool = False
--- a/apricotwalk/forwarding/__init__.py
+++ b/apricotwalk/forwarding/__init__.py
@@ -1,6 +1,6 @@
 """Request forwarding through a mesh, from a caller to a backend server and back."""
 
-from apricotwalk.forwarding._announcements import ServerAnnouncement
+from apricotwalk.forwarding._announcements import AnnouncementReader, ServerAnnouncement
 from apricotwalk.forwarding._backend_pool import BackendPool
 from apricotwalk.forwarding._backend_registry import BackendRegistry
 from apricotwalk.forwarding._failure_responses import failure_response
@@ -11,6 +11,7 @@
 from apricotwalk.forwarding._server_side import ServerSideExecutor
 
 __all__ = [
+    "AnnouncementReader",
     "BackendPool",
     "BackendRegistry",
     "IngressHandler",
--- a/apricotwalk/forwarding/_backend_registry.py
+++ b/apricotwalk/forwarding/_backend_registry.py
@@ -1,6 +1,7 @@
 """State of the backend server beside the node."""
 
 import asyncio
+from collections import deque
 from collections.abc import Callable
 from dataclasses import dataclass
 
@@ -14,6 +15,7 @@
 # Departed incarnations are remembered so that their late heartbeats are ignored.  Heartbeats are
 # at most seconds late, so a short history suffices.
 DEPARTED_HISTORY_COUNT = 16
+MILLISECONDS_PER_SECOND = 1000
 
 
 @dataclass(frozen=True, slots=True)
@@ -41,6 +43,17 @@
         return started_ms == self.started_ms or 0 in (started_ms, self.started_ms)
 
 
+@dataclass(frozen=True, slots=True)
+class _Departure:
+    """Starts of a server that are leaving or gone: all of them up to a time of start."""
+
+    server: str
+    last_started_ms: int
+
+    def includes(self, heartbeat: Heartbeat) -> bool:
+        return heartbeat.server == self.server and heartbeat.started_ms <= self.last_started_ms
+
+
 class BackendRegistry:
     """Decides from heartbeats which incarnation of the backend server may receive work.
 
@@ -68,7 +81,7 @@
         self._log = log
         self._clock = clock
         self._newest_heartbeat: Heartbeat | None = None
-        self._departed: list[tuple[str, int]] = []
+        self._departed: deque[_Departure] = deque(maxlen=DEPARTED_HISTORY_COUNT)
         self.current: KnownServer | None = None
         self.is_leaving = False
         self.leaving_since = 0.0
@@ -104,20 +117,36 @@
         elif self._is_rate_readable:
             self._log.record_state_change("server-limit-unreadable", server=current.server)
         self._is_rate_readable = announcement.has_readable_rate
+        if announcement.is_leaving:
+            # A heartbeat may not have stated the start yet; it is no later than the answer.
+            started_ms = current.started_ms or int(self._clock.wall() * MILLISECONDS_PER_SECOND)
+            if not self.is_leaving or current.started_ms:
+                self._depart(current.server, started_ms, "announced in an answer")
 
     def notice(self) -> ServerNotice | None:
         """Return what the current server announces, or None if that is nothing."""
         current = self.current
-        if current is None or self.announced_rate is None:
+        if current is None or (self.announced_rate is None and not self.is_leaving):
             return None
-        return ServerNotice(current.server, current.started_ms, self.announced_rate)
+        return ServerNotice(
+            current.server, current.started_ms, self.announced_rate, self.is_leaving
+        )
 
     def apply_notice(self, notice: ServerNotice) -> None:
-        """Apply a notice from another node until the server itself has answered."""
+        """Apply a notice of the current server from another node.
+
+        Notes
+        -----
+        The limit of a notice counts only until the server itself has answered this process,
+        because it may have lapsed.  A server that leaves does not return, so that always counts.
+        """
         current = self.current
-        if self._has_answered or current is None:
+        if current is None or not current.is_same_start(notice.server, notice.started_ms):
             return
-        if current.is_same_start(notice.server, notice.started_ms):
+        if notice.is_leaving:
+            started_ms = current.started_ms or notice.started_ms
+            self._depart(current.server, started_ms, "announced earlier to another node")
+        if not self._has_answered:
             self._set_announced_rate(notice.requests_per_second)
 
     def mark_lost(self, reason: str) -> None:
@@ -156,7 +185,7 @@
         return False
 
     def _is_stale(self, heartbeat: Heartbeat) -> bool:
-        if (heartbeat.server, heartbeat.started_ms) in self._departed:
+        if any(departure.includes(heartbeat) for departure in self._departed):
             return True
         newest = self._newest_heartbeat
         if newest is None:
@@ -173,9 +202,16 @@
             return
         if newest is None and self.current is not None and self.current.server != server:
             return
-        departed = (server, started_ms or (newest.started_ms if newest is not None else 0))
-        self._departed = [*self._departed[-DEPARTED_HISTORY_COUNT:], departed]
-        self._start_leaving("departed")
+        if not started_ms and newest is not None:
+            started_ms = newest.started_ms
+        self._depart(server, started_ms, "departed")
+
+    def _depart(self, server: str, started_ms: int, reason: str) -> None:
+        """Mark a server as leaving, whatever later heartbeats of this start of it state."""
+        departure = _Departure(server, started_ms)
+        if departure not in self._departed:
+            self._departed.append(departure)
+        self._start_leaving(reason)
 
     def _start_leaving(self, reason: str) -> None:
         if self.is_leaving:
--- a/apricotwalk/meshnode/_probe.py
+++ b/apricotwalk/meshnode/_probe.py
@@ -6,7 +6,7 @@
 from apricotwalk.border import HeaderFieldNames
 from apricotwalk.core import CallFailure
 from apricotwalk.fleet import ConfigurationHolder
-from apricotwalk.forwarding import BackendPool, BackendRegistry
+from apricotwalk.forwarding import AnnouncementReader, BackendPool, BackendRegistry
 from apricotwalk.http1 import ServerAnswer, encode_field
 from apricotwalk.telemetry import DecisionLog
 
@@ -78,8 +78,12 @@
         ms=round((time.monotonic() - began) * 1000, 1),
     )
     slots = _read_slots(answer, fields)
-    if answer.status == READY_STATUS and server and slots:
-        registry.register_probed(server, slots)
+    announcement = AnnouncementReader(fields).read(answer)
+    if answer.status != READY_STATUS or announcement.is_leaving or not server or not slots:
+        return
+    registry.register_probed(server, slots)
+    if registry.current is not None and registry.current.server == server:
+        registry.record_answer(registry.current, announcement)
 
 
 def _read_slots(answer: ServerAnswer, fields: HeaderFieldNames) -> int:
