Detect a store that was restored from a copy by its era

Callers would be sent by an old version of the configuration for as long as a node misses a newer one: a version that was confirmed after the copy, or changed after the restoration, would not come into force in time.

An offset was taken to mean the same records for good. A restored store gives offsets out again; the node noticed only by 410, so once enough records were stored again, it continued above records that it had never read. Class of fault: a position kept across a loss of what it points into.

The store states its era in each answer. StoreEra keeps the newest, from answers and from pings, so that a node learns of it also while it rarely reads. A follower reads the newest records anew in a new era, a paged read that spans two eras starts again, and each node writes its own record again, spread over time by the size of the fleet. Versions only rise, as before.

The operator's new field is absent on stores that are never restored: the era is 0 then.

--- a/apricotwalk/border/_store.py
+++ b/apricotwalk/border/_store.py
@@ -49,11 +49,14 @@
     records : tuple of KeyedRecord
         The records, in the order in which the store returned them.
     next_offset : int
-        Offset from which the next read continues.
+        Offset from which the next read continues; valid in this era only.
+    era : int
+        Era of the store, which rises each time that the store is restored from a copy.
     """
 
     records: tuple[KeyedRecord, ...]
     next_offset: int
+    era: int = 0
 
 
 class KeyedStream(ABC):
@@ -99,14 +102,19 @@
         """
 
     @abstractmethod
-    async def put(self, record: KeyedRecord) -> None:
-        """Append a record to the stream.
+    async def put(self, record: KeyedRecord) -> int:
+        """Append a record to the stream and return the era of the store.
 
         Parameters
         ----------
         record : KeyedRecord
             Record to append.
 
+        Returns
+        -------
+        int
+            Era in which the record was stored.
+
         Raises
         ------
         StoreError
--- a/apricotwalk/fleet/_follower.py
+++ b/apricotwalk/fleet/_follower.py
@@ -8,6 +8,7 @@
 from apricotwalk.core import Service, Supervisor
 from apricotwalk.fleet._reading_schedule import ReadingSchedule
 from apricotwalk.fleet._store_backoff import StoreBackoff
+from apricotwalk.fleet._store_era import StoreEra
 from apricotwalk.telemetry import DecisionLog
 
 __all__ = ["RecordConsumer", "StreamFollower"]
@@ -42,6 +43,13 @@
         Source of the back-off jitter, which spreads the attempts of many nodes.
     schedule : ReadingSchedule
         Decides when to read and how long each read waits for records.
+    store_era : StoreEra
+        Newest known era of the store.
+
+    Notes
+    -----
+    Offsets are valid in one era only.  In a later era, the follower reads the newest records
+    again, because the offset that it reached may belong to other records by then.
     """
 
     def __init__(
@@ -52,12 +60,15 @@
         log: DecisionLog,
         generator: random.Random,
         schedule: ReadingSchedule,
+        store_era: StoreEra,
     ) -> None:
         self._schedule = schedule
         self._name = name
         self._stream = stream
         self._consumer = consumer
         self._log = log
+        self._store_era = store_era
+        self._era = 0
         self._offset: int | None = None
         self._had_records = False
         self._had_updates = False
@@ -93,11 +104,16 @@
     async def _read_once(self) -> None:
         if self._offset is None:
             page = await self._stream.read_newest()
+            self._era = page.era
+            self._store_era.observe(page.era, "store")
             self._had_updates = self._consumer.apply_snapshot(page.records)
         else:
             read = self._schedule.next_read(self._had_records, self._had_updates)
             await asyncio.sleep(read.pause_seconds)
             page = await self._stream.read(self._offset, read.wait_seconds)
+            self._store_era.observe(page.era, "store")
+            if page.era != self._era:
+                raise HistoryLostError(f"offset of era {self._era} in a store of era {page.era}")
             self._had_updates = any(
                 [self._consumer.apply_record(record) for record in page.records]
             )
--- a/apricotwalk/fleet/_members.py
+++ b/apricotwalk/fleet/_members.py
@@ -12,12 +12,16 @@
 from apricotwalk.core import Clock, Service, Supervisor
 from apricotwalk.fleet._follower import RecordConsumer
 from apricotwalk.fleet._store_backoff import StoreBackoff
+from apricotwalk.fleet._store_era import StoreEra
 from apricotwalk.membership import Member, MemberState, MemberTable
 from apricotwalk.telemetry import DecisionLog
 
 __all__ = ["FleetMembers"]
 
 MICROSECONDS_PER_SECOND = 1_000_000
+# The nodes write their records to a restored store at this mean interval, which is half of the
+# smallest rate of writes that the operators' stores accept.
+REWRITE_SECONDS_PER_MEMBER = 0.005
 
 _encoder = msgspec.msgpack.Encoder()
 _decoder = msgspec.msgpack.Decoder(Member)
@@ -37,7 +41,9 @@
     clock : Clock
         Source of time.
     generator : random.Random
-        Source of the back-off jitter, which spreads the attempts of many nodes.
+        Source of jitter, which spreads the writes of many nodes.
+    store_era : StoreEra
+        Newest known era of the store.
 
     Notes
     -----
@@ -54,8 +60,11 @@
         log: DecisionLog,
         clock: Clock,
         generator: random.Random,
+        store_era: StoreEra,
     ) -> None:
         self.own = own
+        self._store_era = store_era
+        self._rewrite_timer: asyncio.TimerHandle | None = None
         self._stream = stream
         self._log = log
         self._clock = clock
@@ -75,6 +84,8 @@
 
     async def close(self) -> None:
         """Stop writing to the directory."""
+        if self._rewrite_timer is not None:
+            self._rewrite_timer.cancel()
         await self._supervisor.close()
 
     def members(self, service: str) -> list[Member]:
@@ -103,6 +114,22 @@
             return
         self._update_own(state, reason)
 
+    def handle_restoration(self) -> None:
+        """Write the record of this node again, because a restored store may have lost it.
+
+        Notes
+        -----
+        Every node does so, whether or not it reads the directory in the near future.
+        """
+        if self.own.instance not in self._members_by_instance:
+            return
+        if self._rewrite_timer is not None:
+            self._rewrite_timer.cancel()
+        max_delay = REWRITE_SECONDS_PER_MEMBER * len(self._members_by_instance)
+        self._rewrite_timer = asyncio.get_running_loop().call_later(
+            self._random.uniform(0.0, max_delay), self._needs_write.set
+        )
+
     def apply_record(self, record: KeyedRecord) -> bool:
         """Apply a record of the directory; see `RecordConsumer.apply_record`."""
         if record.value is None:
@@ -207,7 +234,8 @@
             self._needs_write.clear()
             own = self.own
             try:
-                await self._stream.put(KeyedRecord(own.instance, _encoder.encode(own)))
+                era = await self._stream.put(KeyedRecord(own.instance, _encoder.encode(own)))
+                self._store_era.observe(era, "store")
                 backoff.reset()
             except StoreError as error:
                 self._log.record_state_change("own-record-unwritten", detail=str(error))
--- a/apricotwalk/meshnode/_node.py
+++ b/apricotwalk/meshnode/_node.py
@@ -20,6 +20,7 @@
     ConfigurationHolder,
     FleetMembers,
     ReadingSchedule,
+    StoreEra,
     StreamFollower,
 )
 from apricotwalk.forwarding import (
@@ -111,8 +112,9 @@
         self.log = DecisionLog(settings.instance, settings.availability_zone, self._clock)
         self.metrics = MeshMetrics()
         self.configuration = ConfigurationHolder(platform.decode_configuration, self.log)
+        self.store_era = StoreEra(self.log)
         self.members = self._build_members()
-        self._peer_handler = MeshPeerHandler(self.members, self.configuration)
+        self._peer_handler = MeshPeerHandler(self.members, self.configuration, self.store_era)
         self.links = PeerLinks(self.members.own, self._peer_handler, self._random)
         self.registry = BackendRegistry(settings, self.log, self._clock)
         self.admission = RankQueueController(self._clock, UNUSED_MECHANISMS, limit=AnnouncedLimit())
@@ -168,6 +170,7 @@
         self.members.on_own_change = self._broadcast_own_record
         self.members.on_member_change = self._gossip_change
         self.configuration.on_change = self._apply_configuration
+        self.store_era.on_restoration = self.members.handle_restoration
         await self._supervisor.start()
         self._supervisor.run_loop("probe", self._probe_backend)
         self._supervisor.run_loop("settings", self._watch_settings)
@@ -244,7 +247,12 @@
             state=MemberState.DEAD,
         )
         return FleetMembers(
-            own, self._platform.open_membership_stream(), self.log, self._clock, self._random
+            own,
+            self._platform.open_membership_stream(),
+            self.log,
+            self._clock,
+            self._random,
+            self.store_era,
         )
 
     def _build_caller_listener(self) -> HttpListener:
@@ -293,6 +301,7 @@
                 self.log,
                 self._random,
                 self._build_schedule(configuration_wait, CONFIGURATION_POLL_GAP_SECONDS),
+                self.store_era,
             )
         )
         self._supervisor.add(
@@ -303,6 +312,7 @@
                 self.log,
                 self._random,
                 self._build_schedule(MEMBERS_WAIT_SECONDS, MEMBERS_POLL_GAP_SECONDS),
+                self.store_era,
             )
         )
         self._supervisor.add(self.members)
--- a/apricotwalk/meshnode/_peers.py
+++ b/apricotwalk/meshnode/_peers.py
@@ -3,12 +3,13 @@
 import time
 from collections.abc import Callable
 
-from apricotwalk.fleet import ConfigurationHolder, FleetMembers
+from apricotwalk.fleet import ConfigurationHolder, FleetMembers, StoreEra
 from apricotwalk.forwarding import ServerSideExecutor
 from apricotwalk.peering import (
     ConfigurationMessage,
     ConfigurationRequest,
     ForwardMessage,
+    GossipDigest,
     GreetingMessage,
     MembersMessage,
     MembersRequest,
@@ -37,10 +38,15 @@
         Membership records of this node.
     configuration : ConfigurationHolder
         Configuration in force at this node.
+    store_era : StoreEra
+        Newest known era of the store.
     """
 
-    def __init__(self, members: FleetMembers, configuration: ConfigurationHolder) -> None:
+    def __init__(
+        self, members: FleetMembers, configuration: ConfigurationHolder, store_era: StoreEra
+    ) -> None:
         self._members = members
+        self._store_era = store_era
         self._configuration = configuration
         self._last_exchange_at = 0.0
         self.executor: ServerSideExecutor | None = None
@@ -51,17 +57,20 @@
         assert self.executor is not None
         return await self.executor.run(message)
 
-    def gossip_digest(self) -> tuple[int, int]:
+    def gossip_digest(self) -> GossipDigest:
         """Return the content of pings; see `PeerHandler.gossip_digest`."""
-        return self._configuration.version, self._members.digest()
+        return GossipDigest(
+            self._configuration.version, self._members.digest(), self._store_era.value
+        )
 
     def handle_gossip_digest(
-        self, configuration_version: int, members_digest: int, send: Callable[[PeerMessage], bool]
+        self, digest: GossipDigest, send: Callable[[PeerMessage], bool]
     ) -> None:
         """Request newer state from the peer; see `PeerHandler.handle_gossip_digest`."""
-        if configuration_version > self._configuration.version:
+        self._store_era.observe(digest.store_era, "peer")
+        if digest.configuration_version > self._configuration.version:
             send(ConfigurationRequest())
-        if members_digest == self._members.digest():
+        if digest.members_digest == self._members.digest():
             return
         now = time.monotonic()
         list_interval = EXCHANGE_SECONDS_PER_MEMBER * len(self._members.all_members())
--- a/apricotwalk/peering/_links.py
+++ b/apricotwalk/peering/_links.py
@@ -16,6 +16,7 @@
     CancelMessage,
     ForwardMessage,
     GoAwayMessage,
+    GossipDigest,
     GreetingMessage,
     PeerMessage,
     PingMessage,
@@ -77,9 +78,7 @@
             if reply is not None and not reply.done():
                 reply.set_result(message)
         elif isinstance(message, PongMessage):
-            self._handler.handle_gossip_digest(
-                message.configuration_version, message.members_digest, self.send
-            )
+            self._handler.handle_gossip_digest(message.digest, self.send)
         elif isinstance(message, GoAwayMessage):
             self.is_draining = True
         else:
@@ -99,9 +98,9 @@
         finally:
             self._pending_replies_by_call.pop(message.call, None)
 
-    def ping(self, configuration_version: int, members_digest: int) -> None:
+    def ping(self, digest: GossipDigest) -> None:
         """Send a ping; the pong timeout starts at the first unanswered ping."""
-        if self.send(PingMessage(configuration_version, members_digest)) and not self.pinged_at:
+        if self.send(PingMessage(*digest)) and not self.pinged_at:
             self.pinged_at = time.monotonic()
 
     def connection_lost(self, error: Exception | None) -> None:
@@ -213,7 +212,7 @@
         """Ping up to `count` connected peers chosen at random, with this node's gossip digest."""
         digest = self._handler.gossip_digest()
         for link in self._sample_links(count):
-            link.ping(*digest)
+            link.ping(digest)
 
     def _sample_links(self, count: int) -> list[_Link]:
         links = [link for link in self._links_by_address.values() if link.accepts_calls]
@@ -277,7 +276,7 @@
         self._links_by_address[address] = link
         self._links.add(link)
         link.send(GreetingMessage(self.own))
-        link.ping(*self._handler.gossip_digest())
+        link.ping(self._handler.gossip_digest())
         return link
 
     def _record_failure(self, address: Address) -> None:
@@ -333,7 +332,7 @@
         if idle:
             pinged.add(self._random.choice(idle))
         for link in pinged:
-            link.ping(*digest)
+            link.ping(digest)
 
     def _redial(self, now: float) -> None:
         for address, outage in list(self._outages_by_address.items()):
--- a/apricotwalk/peering/_listener.py
+++ b/apricotwalk/peering/_listener.py
@@ -10,6 +10,7 @@
     CancelMessage,
     ForwardMessage,
     GoAwayMessage,
+    GossipDigest,
     PeerMessage,
     PingMessage,
     PongMessage,
@@ -31,12 +32,12 @@
         """Run a forwarded request and return its outcome; must not raise."""
 
     @abstractmethod
-    def gossip_digest(self) -> tuple[int, int]:
-        """Return the configuration version in force and the digest of the membership records."""
+    def gossip_digest(self) -> GossipDigest:
+        """Return the summary of this node's state."""
 
     @abstractmethod
     def handle_gossip_digest(
-        self, configuration_version: int, members_digest: int, send: Callable[[PeerMessage], bool]
+        self, digest: GossipDigest, send: Callable[[PeerMessage], bool]
     ) -> None:
         """Compare the digest of a peer with the local one and request what is missing."""
 
@@ -71,9 +72,7 @@
                 running.cancel()
         elif isinstance(message, PingMessage):
             self.send(PongMessage(*self._handler.gossip_digest()))
-            self._handler.handle_gossip_digest(
-                message.configuration_version, message.members_digest, self.send
-            )
+            self._handler.handle_gossip_digest(message.digest, self.send)
         else:
             self._handler.handle_control(message, self.send)
 
--- a/apricotwalk/peering/_messages.py
+++ b/apricotwalk/peering/_messages.py
@@ -5,6 +5,8 @@
 The tags and the order of the fields are the wire format.
 """
 
+from typing import NamedTuple
+
 import msgspec
 from msgspec import Struct
 
@@ -17,6 +19,7 @@
     "ConfigurationRequest",
     "ForwardMessage",
     "GoAwayMessage",
+    "GossipDigest",
     "GreetingMessage",
     "MembersMessage",
     "MembersRequest",
@@ -42,6 +45,24 @@
     member: Member
 
 
+class GossipDigest(NamedTuple):
+    """Summary of a node's state, by which peers detect what they are missing.
+
+    Parameters
+    ----------
+    configuration_version : int
+        Configuration version in force, 0 for none.
+    members_digest : int
+        Digest of the membership records.
+    store_era : int
+        Newest known era of the store, 0 for none.
+    """
+
+    configuration_version: int
+    members_digest: int
+    store_era: int
+
+
 class PingMessage(Struct, frozen=True, array_like=True, tag=2):
     """Heartbeat request that carries the gossip digest of the sender.
 
@@ -51,10 +72,18 @@
         Configuration version in force at the sender, 0 for none.
     members_digest : int
         Digest of the membership records held by the sender.
+    store_era : int
+        Newest era of the store known to the sender, 0 for none.
     """
 
     configuration_version: int
     members_digest: int
+    store_era: int = 0
+
+    @property
+    def digest(self) -> GossipDigest:
+        """The gossip digest of the sender."""
+        return GossipDigest(self.configuration_version, self.members_digest, self.store_era)
 
 
 class PongMessage(Struct, frozen=True, array_like=True, tag=3):
@@ -62,6 +91,12 @@
 
     configuration_version: int
     members_digest: int
+    store_era: int = 0
+
+    @property
+    def digest(self) -> GossipDigest:
+        """The gossip digest of the sender."""
+        return GossipDigest(self.configuration_version, self.members_digest, self.store_era)
 
 
 class ForwardMessage(Struct, frozen=True, array_like=True, tag=4):
--- a/apricotwalk/platform/_names.py
+++ b/apricotwalk/platform/_names.py
@@ -11,6 +11,7 @@
     "READINESS_PATH",
     "SETTINGS_DEFAULT_PATH",
     "SETTINGS_VARIABLE",
+    "STORE_ERA_FIELD",
 ]
 
 SETTINGS_VARIABLE = "APRICOTWALK_NODE_FILE"
@@ -20,6 +21,7 @@
 OPERATOR_TOPIC = "keyed.op"
 CONFIGURATION_KEY = "config"
 MEMBERS_TOPIC = "keyed.members"
+STORE_ERA_FIELD = "Store-Era"
 
 # "Attempt-Id" identifies one attempt of a caller, not the caller's request, which may have several
 # attempts.  "Deadline-Ms" is a remaining time, not a point in time.  "Server-Seal" signs the body,
--- a/apricotwalk/platform/_store.py
+++ b/apricotwalk/platform/_store.py
@@ -1,6 +1,7 @@
 """HTTP client of the keyed topics of the platform's store."""
 
 import struct
+from dataclasses import dataclass
 
 import msgspec
 from msgspec import Struct
@@ -14,6 +15,7 @@
     StoreError,
     StreamPage,
 )
+from apricotwalk.platform._names import STORE_ERA_FIELD
 from apricotwalk.settings import Address
 
 __all__ = ["StoreClient"]
@@ -53,6 +55,12 @@
 _page_decoder = msgspec.json.Decoder(_NewestPage)
 
 
+@dataclass(frozen=True, slots=True)
+class _Answer:
+    body: bytes
+    era: int
+
+
 class StoreClient:
     """HTTP client of the store, with a separate connection for each call.
 
@@ -81,8 +89,8 @@
             self._client.close()
             self._client = None
 
-    async def fetch(self, method: str, path: str, body: bytes | None, timeout: float) -> bytes:
-        """Call the store and return the body of its answer.
+    async def fetch(self, method: str, path: str, body: bytes | None, timeout: float) -> _Answer:
+        """Call the store and return its answer.
 
         Parameters
         ----------
@@ -95,8 +103,8 @@
 
         Returns
         -------
-        bytes
-            Body of a successful answer.
+        _Answer
+            Body and era of a successful answer.
 
         Raises
         ------
@@ -119,7 +127,7 @@
             raise error_type(f"{method} {path}: {error}") from error
         except (OSError, ValueError) as error:
             raise StoreError(f"{method} {path}: {error!r}") from error
-        return response.body
+        return _Answer(response.body, _parse_era(response.headers.get(STORE_ERA_FIELD, "")))
 
     def _open_client(self) -> SimpleAsyncHTTPClient:
         if self._client is None:
@@ -140,40 +148,50 @@
         """Read the newest record of each key; see `KeyedStream.read_newest`."""
         records: list[KeyedRecord] = []
         first_end: int | None = None
+        first_era: int | None = None
         after = ""
         while True:
-            page = await self._read_page(after)
+            page, era = await self._read_page(after)
+            first_era = era if first_era is None else first_era
+            if era != first_era:
+                raise HistoryLostError(f"the store went from era {first_era} to {era} in between")
             # The pages are not one consistent snapshot, so reading continues from the end offset
             # of the first page.
             first_end = page.end if first_end is None else first_end
             records += [KeyedRecord(item.key, item.value) for item in page.items]
             if not page.more or not page.items:
-                return StreamPage(tuple(records), first_end)
+                return StreamPage(tuple(records), first_end, era)
             after = f"&after={page.items[-1].key}"
 
     async def read(self, offset: int, wait_seconds: float) -> StreamPage:
         """Read the records from an offset on; see `KeyedStream.read`."""
         path = f"/api/log-read?{self._topic_query}&from={offset}&wait-ms={wait_seconds * 1000:.0f}"
         timeout = wait_seconds + ANSWER_GRACE_SECONDS
-        body = await self._client.fetch("GET", path, None, timeout)
-        records, count = _decode_records(body)
-        return StreamPage(tuple(records), offset + count)
+        answer = await self._client.fetch("GET", path, None, timeout)
+        records, count = _decode_records(answer.body)
+        return StreamPage(tuple(records), offset + count, answer.era)
 
-    async def put(self, record: KeyedRecord) -> None:
+    async def put(self, record: KeyedRecord) -> int:
         """Append a record to the topic; see `KeyedStream.put`."""
         content = _encode_record(record)
         path = f"/api/log-append?{self._topic_query}"
-        await self._client.fetch("POST", path, content, REQUEST_TIMEOUT_SECONDS)
+        answer = await self._client.fetch("POST", path, content, REQUEST_TIMEOUT_SECONDS)
+        return answer.era
 
-    async def _read_page(self, after: str) -> _NewestPage:
+    async def _read_page(self, after: str) -> tuple[_NewestPage, int]:
         path = f"/api/log-newest?{self._topic_query}{after}"
-        body = await self._client.fetch("GET", path, None, REQUEST_TIMEOUT_SECONDS)
+        answer = await self._client.fetch("GET", path, None, REQUEST_TIMEOUT_SECONDS)
         try:
-            return _page_decoder.decode(body)
+            return _page_decoder.decode(answer.body), answer.era
         except msgspec.MsgspecError as error:
             raise StoreError(f"GET {path}: unreadable answer: {error}") from error
 
 
+def _parse_era(text: str) -> int:
+    """Return the era in a header field, or 0 if the store states none."""
+    return int(text) if text.isdecimal() else 0
+
+
 def _encode_record(record: KeyedRecord) -> bytes:
     key = record.key.encode()
     content = bytes([len(key)]) + key + (record.value or b"")
--- a/tests/mesh_fakes.py
+++ b/tests/mesh_fakes.py
@@ -71,9 +71,10 @@
 
 
 class FakeStream(KeyedStream):
-    """An in-memory keyed stream that can be made unavailable."""
+    """An in-memory keyed stream that can be made unavailable and restored from a copy."""
 
     def __init__(self):
+        self.era = 1
         self.records = []
         self.first_offset = 0
         self.is_down = False
@@ -86,11 +87,11 @@
         for record in self.records:
             newest[record.key] = record
         kept = tuple(record for record in newest.values() if record.value is not None)
-        return StreamPage(kept, len(self.records))
+        return StreamPage(kept, len(self.records), self.era)
 
     async def read(self, offset, wait_seconds):
         self._require_up()
-        if offset < self.first_offset:
+        if offset < self.first_offset or offset > len(self.records):
             raise HistoryLostError("gone")
         if offset >= len(self.records):
             self._changed.clear()
@@ -98,14 +99,20 @@
                 async with asyncio.timeout(wait_seconds):
                     await self._changed.wait()
             except TimeoutError:
-                return StreamPage((), offset)
+                return StreamPage((), offset, self.era)
         self._require_up()
-        return StreamPage(tuple(self.records[offset:]), len(self.records))
+        return StreamPage(tuple(self.records[offset:]), len(self.records), self.era)
 
     async def put(self, record):
         self.put_count += 1
         self._require_up()
         self.add(record)
+        return self.era
+
+    def restore(self, kept_count):
+        """Lose all but the first records, whose offsets are given out again in a new era."""
+        del self.records[kept_count:]
+        self.era += 1
 
     def add(self, record):
         self.records.append(record)
@@ -128,6 +135,11 @@
         self.members = FakeStream()
         self.versions = {}
 
+    def restore(self, kept_count):
+        """Restore both streams from a copy with their first records."""
+        self.configuration.restore(kept_count)
+        self.members.restore(kept_count)
+
     def publish(self, configuration):
         value = str(configuration.version).encode()
         self.versions[value] = RouteConfiguration(
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -11,6 +11,7 @@
     ConfigurationHolder,
     FleetMembers,
     ReadingSchedule,
+    StoreEra,
     StreamFollower,
 )
 from apricotwalk.fleet._members import _encoder
@@ -31,7 +32,12 @@
 def new_members(instance="own", stream=None, clock=None):
     own = new_member(instance, 10, state=MemberState.DEAD)
     return FleetMembers(
-        own, stream or FakeStream(), new_discarding_log(), clock or ManualClock(), random.Random(1)
+        own,
+        stream or FakeStream(),
+        new_discarding_log(),
+        clock or ManualClock(),
+        random.Random(1),
+        StoreEra(new_discarding_log()),
     )
 
 
@@ -129,7 +135,13 @@
         holder = new_holder(*versions)
         schedule = ReadingSchedule("own", list, 1.0, 0.2, random.Random(1))
         follower = StreamFollower(
-            "c", stream, holder, new_discarding_log(), random.Random(1), schedule
+            "c",
+            stream,
+            holder,
+            new_discarding_log(),
+            random.Random(1),
+            schedule,
+            StoreEra(new_discarding_log()),
         )
         stream.add(KeyedRecord("config", b"1"))
         await follower.start()
