Bound the memory of answers that never end

A server in trouble may send bytes without end, in a head or a body. The node kept all of them: until the deadline of the request, and the parser also before any of its callbacks.

AnswerMemory bounds the incomplete answers of all connections of a pool together at 64 MB, the largest body of the platform, and drops the largest answer beyond that, so that one endless answer does not take the others with it. A head is bounded at 64 KB. The connection is closed at once, and the caller gets 502, or 504 if its deadline ends first; both say that the request may have run.

--- a/apricotwalk/forwarding/_backend_pool.py
+++ b/apricotwalk/forwarding/_backend_pool.py
@@ -7,6 +7,7 @@
 
 from apricotwalk.core import CallFailure, Service, Verdict
 from apricotwalk.http1 import (
+    AnswerMemory,
     ServerAnswer,
     ServerConnection,
     ServerConnectionLost,
@@ -40,6 +41,8 @@
         Name of the header field that identifies a request; the answer repeats its value.
     captured_fields : tuple of str
         Names of the answer header fields whose values are kept.
+    memory : AnswerMemory, optional
+        Bound on the memory that all incomplete answers use together.
 
     Attributes
     ----------
@@ -47,12 +50,19 @@
         Number of responses that belong to no request, summed as connections are released.
     """
 
-    def __init__(self, address: Address, id_field: str, captured_fields: tuple[str, ...]) -> None:
+    def __init__(
+        self,
+        address: Address,
+        id_field: str,
+        captured_fields: tuple[str, ...],
+        memory: AnswerMemory | None = None,
+    ) -> None:
         self.address = address
         self._id_field = id_field.lower().encode()
         self._captured_fields = frozenset(name.lower().encode() for name in captured_fields)
         self._idle: deque[ServerConnection] = deque()
         self._open: set[ServerConnection] = set()
+        self._memory = memory or AnswerMemory()
         self.unmatched_response_count = 0
 
     async def start(self) -> None:
@@ -154,7 +164,7 @@
         try:
             async with asyncio.timeout(CONNECT_TIMEOUT_SECONDS):
                 transport, connection = await loop.create_connection(
-                    lambda: ServerConnection(self._id_field, self._captured_fields),
+                    lambda: ServerConnection(self._id_field, self._captured_fields, self._memory),
                     self.address.host,
                     self.address.port,
                 )
--- a/apricotwalk/http1/_client.py
+++ b/apricotwalk/http1/_client.py
@@ -8,10 +8,13 @@
 import httptools
 
 from apricotwalk.core import ApricotwalkError
+from apricotwalk.http1._answer_memory import AnswerMemory
 from apricotwalk.http1._head import CONNECTION_FIELDS
 
 __all__ = ["ServerAnswer", "ServerConnection", "ServerConnectionLost"]
 
+# Four times the largest head that callers may send by default.
+MAX_HEAD_BYTES = 65_536
 FIRST_FINAL_STATUS = 200
 STATUSES_WITHOUT_BODY = (204, 304)
 
@@ -52,6 +55,8 @@
         request.
     captured_fields : frozenset of bytes
         Lower-case names of further header fields to capture in `ServerAnswer.values_by_name`.
+    memory : AnswerMemory, optional
+        Bound on the memory that incomplete answers use; by default one of this connection alone.
 
     Notes
     -----
@@ -61,7 +66,13 @@
     written completely, or if the end of a response is marked by the end of the connection.
     """
 
-    def __init__(self, id_field: bytes, captured_fields: frozenset[bytes]) -> None:
+    def __init__(
+        self,
+        id_field: bytes,
+        captured_fields: frozenset[bytes],
+        memory: AnswerMemory | None = None,
+    ) -> None:
+        self._memory = memory or AnswerMemory()
         self._id_field = id_field
         self._captured_fields = captured_fields | {id_field}
         self._transport: asyncio.Transport | None = None
@@ -72,6 +83,9 @@
         self._must_close = False
         self._has_known_length = False
         self._in_message = False
+        self._in_head = True
+        self._is_head_new = False
+        self._head_bytes = 0
         self._fields: list[bytes] = []
         self._values: dict[bytes, str] = {}
         self._body: list[bytes] = []
@@ -103,12 +117,15 @@
         self._answer = asyncio.get_running_loop().create_future()
         self._request_id = request_id
         self._is_head = is_head
+        self._in_head = True
+        self._head_bytes = 0
         self._transport.write(request)
         return self._answer
 
     def close(self) -> None:
         """Abort the connection, upon which the server may cancel the request."""
         self.is_closed = True
+        self._memory.release(self._drop_oversized)
         if self._transport is not None:
             self._transport.abort()
 
@@ -119,8 +136,12 @@
             self.unmatched_response_count += 1
             self.close()
             return
+        self._memory.add(self._drop_oversized, len(data))
+        if self.is_closed:
+            return
         try:
             self._parser.feed_data(data)
+            self._check_head(len(data))
         except httptools.HttpParserUpgrade:
             self._fail("the answer changes the protocol")
         except httptools.HttpParserError as error:
@@ -129,6 +150,22 @@
             self._must_close = True
             self.close()
 
+    def _check_head(self, received_count: int) -> None:
+        """Drop an answer whose head does not end."""
+        if self._answer is None or not self._in_head:
+            return
+        if self._is_head_new:
+            self._is_head_new = False  # the bytes may contain the end of an earlier answer
+            return
+        self._head_bytes += received_count
+        if self._head_bytes > MAX_HEAD_BYTES:
+            self._fail(f"head of more than {MAX_HEAD_BYTES} bytes")
+            self.close()
+
+    def _drop_oversized(self) -> None:
+        self._fail("answers exceed the memory for incomplete answers")
+        self.close()
+
     def eof_received(self) -> bool:
         """Complete a response that is delimited by the end of the connection.
 
@@ -150,6 +187,8 @@
             self._must_close = True
             self.unmatched_response_count += 1
         self._in_message = True
+        self._in_head = self._is_head_new = True
+        self._head_bytes = 0
         self._has_known_length = False
         self._fields = []
         self._values = {}
@@ -171,6 +210,7 @@
 
     def on_headers_complete(self) -> None:
         """Complete responses that have no body after their head; called by the parser."""
+        self._in_head = False
         status = self._parser.get_status_code()
         if status in STATUSES_WITHOUT_BODY or status < FIRST_FINAL_STATUS:
             self._has_known_length = True
@@ -201,6 +241,7 @@
             self.unmatched_response_count += 1
             return
         self._answer = None
+        self._memory.release(self._drop_oversized)
         self.idle_since = time.monotonic()
         if self._transport is not None and self._transport.get_write_buffer_size():
             self._must_close = True
@@ -217,6 +258,7 @@
     def _fail(self, detail: str) -> None:
         answer, self._answer = self._answer, None
         self._must_close = True
+        self._memory.release(self._drop_oversized)
         if answer is not None and not answer.done():
             answer.set_exception(ServerConnectionLost(detail))
 
