--- a/apricotwalk_lab/soak/_checks.py
+++ b/apricotwalk_lab/soak/_checks.py
@@ -28,6 +28,10 @@
 # request was sent counts as cut.
 LATE_CUT_SECONDS = 0.2
 MAX_TARGET_COUNT = 2
+# A server with a limit may get one and a half times the limit and five requests in each window.
+LIMIT_WINDOW_SECONDS = 4.0
+LIMIT_EXCESS_FACTOR = 1.5
+LIMIT_EXCESS_COUNT = 5
 REFUSAL_STATUSES = frozenset({408, 421, 429, 503})
 NODE_FAILURE_STATUSES = frozenset({502, 504})
 FAILURE_STATUSES = frozenset({500, 502, 503, 504})
@@ -44,6 +48,7 @@
         FaultKind.STORE_SLOW,
         FaultKind.STORE_ANSWERS_LOST,
         FaultKind.STORE_FORGETS,
+        FaultKind.STORE_RESTORED,
         FaultKind.STORE_LINK_CUT,
         FaultKind.STORE_LINK_CUT_BACK,
     }
@@ -69,6 +74,7 @@
         _check_executions(records),
         _check_answers(records),
         _check_drain(records),
+        _check_limits(records),
         _check_retry_budget(records),
         _check_versions(plan, records, starts_by_node),
         _check_graceful_stops(plan, records),
@@ -108,6 +114,28 @@
                 )
 
 
+def _check_limits(records: Records) -> Iterator[str]:
+    for server, changes in records.limit_changes_by_server.items():
+        ends = [at for at, _ in changes[1:]] + [float("inf")]
+        for (announced_at, rate), end in zip(changes, ends, strict=True):
+            if rate is None:
+                continue
+            arrivals = [
+                at
+                for at in sorted(records.arrivals_by_server[server])
+                if announced_at + UNDISTURBED_SECONDS <= at < end
+            ]
+            allowed = LIMIT_EXCESS_FACTOR * rate * LIMIT_WINDOW_SECONDS + LIMIT_EXCESS_COUNT
+            for start in arrivals:
+                count = sum(start <= at < start + LIMIT_WINDOW_SECONDS for at in arrivals)
+                if count > allowed:
+                    yield (
+                        f"{server} announced {rate} requests per second and got {count} in "
+                        f"{LIMIT_WINDOW_SECONDS} s from {start:.1f} s on"
+                    )
+                    break
+
+
 def _check_retry_budget(records: Records) -> Iterator[str]:
     first_tries_by_service: dict[str, list[float]] = defaultdict(list)
     retries_by_service: dict[str, list[float]] = defaultdict(list)
--- a/apricotwalk_lab/soak/_faults.py
+++ b/apricotwalk_lab/soak/_faults.py
@@ -16,6 +16,8 @@
 
 STORE_DELAY_SECONDS = 0.3
 BURST_FACTOR = 6.0
+# The operator notices a restoration and stores its newest version again after this time.
+REPUBLISH_SECONDS = 0.5
 
 
 class FaultInjector:
@@ -54,18 +56,29 @@
         self._services = services
         self._active_counts: Counter[tuple[FaultKind, int]] = Counter()
         self._version = 0
+        self._newest_value = b""
 
     def publish(self) -> None:
         """Publish the next version of the configuration."""
         self._version += 1
         value = configuration(self._version, self._services)
         self._store.put(OPERATOR_TOPIC, CONFIGURATION_KEY, value)
+        self._newest_value = value
         self._records.published_at_by_version[self._version] = self._clock()
         self._callers.newest_version = self._version
 
+    async def restore_store(self, age_seconds: float) -> None:
+        """Restore the store from a copy, and store the newest version again."""
+        self._store.restore(age_seconds)
+        await asyncio.sleep(REPUBLISH_SECONDS)
+        self._store.put(OPERATOR_TOPIC, CONFIGURATION_KEY, self._newest_value)
+
     async def inject(self, fault: Fault) -> None:
         """Wait until a fault is due, apply it, and revert it after its duration."""
         await asyncio.sleep(max(0.0, fault.at - self._clock()))
+        if fault.kind is FaultKind.STORE_RESTORED:
+            await self.restore_store(fault.seconds)
+            return
         one_time = self._one_time_faults().get(fault.kind)
         if one_time is not None:
             await one_time(self._instances[fault.node])
@@ -105,6 +118,8 @@
                 instance.send(signal.SIGSTOP if is_active else signal.SIGCONT)
             case FaultKind.SERVER_SLOW:
                 instance.server.is_slow = is_active
+            case FaultKind.SERVER_LIMITED:
+                instance.server.set_limited(is_active)
             case FaultKind.ANSWERS_LOST:
                 instance.server.loses_answers = is_active
             case FaultKind.ANSWERS_CUT:
--- a/apricotwalk_lab/soak/_plan.py
+++ b/apricotwalk_lab/soak/_plan.py
@@ -39,8 +39,17 @@
     STORE_LINK_CUT_BACK = "store-link-cut-back"
     CONFIGURATION_CHANGED = "configuration-changed"
     BURST = "burst"
+    SERVER_LIMITED = "server-limited"
+    STORE_RESTORED = "store-restored"
 
 
+# These kinds have a random generator of their own, so that each seed still draws its other faults.
+_SEPARATELY_DRAWN = (FaultKind.SERVER_LIMITED, FaultKind.STORE_RESTORED)
+MAX_SEPARATE_DRAW_COUNT = 3
+# A limit is judged in windows of 4 s that begin 3 s after it was announced.
+MIN_LIMITED_SECONDS = 7.0
+MAX_LIMITED_SECONDS = 10.0
+
 # Planned operations do not count as faults of the node that they concern.
 PLANNED = frozenset({FaultKind.NODE_TERMINATED, FaultKind.NODE_RELOADED})
 
@@ -98,10 +107,24 @@
     faults: list[Fault] = []
     count = generator.randint(MIN_FAULT_DRAW_COUNT, MAX_FAULT_DRAW_COUNT)
     while len(faults) < count:
-        kind = generator.choice(list(FaultKind))
+        kind = generator.choice([kind for kind in FaultKind if kind not in _SEPARATELY_DRAWN])
         at = WARM_UP_SECONDS + generator.uniform(0.0, FAULT_PHASE_SECONDS)
         for repeat in range(generator.choice((1, 1, 2, 3))):
             seconds = generator.uniform(MIN_FAULT_SECONDS, MAX_FAULT_SECONDS)
             node = generator.randrange(node_count)
             faults.append(Fault(kind, at + repeat * generator.uniform(0.3, 1.5), seconds, node))
+    faults += _draw_separately(seed, node_count)
     return SoakPlan(seed, services, tuple(sorted(faults, key=lambda fault: fault.at)))
+
+
+def _draw_separately(seed: int, node_count: int) -> list[Fault]:
+    generator = random.Random(f"{seed} separate")
+    faults: list[Fault] = []
+    for _ in range(generator.randint(0, MAX_SEPARATE_DRAW_COUNT)):
+        kind = generator.choice(_SEPARATELY_DRAWN)
+        at = WARM_UP_SECONDS + generator.uniform(0.0, FAULT_PHASE_SECONDS)
+        seconds = generator.uniform(MIN_FAULT_SECONDS, MAX_FAULT_SECONDS)
+        if kind is FaultKind.SERVER_LIMITED:
+            seconds = generator.uniform(MIN_LIMITED_SECONDS, MAX_LIMITED_SECONDS)
+        faults.append(Fault(kind, at, seconds, generator.randrange(node_count)))
+    return faults
--- a/apricotwalk_lab/soak/_platform.py
+++ b/apricotwalk_lab/soak/_platform.py
@@ -10,6 +10,7 @@
     HEARTBEAT_PREFIX,
     OPERATOR_TOPIC,
     SETTINGS_VARIABLE,
+    STORE_ERA_FIELD,
 )
 
 __all__ = [
@@ -22,6 +23,7 @@
     "HEARTBEAT_PREFIX",
     "HOST",
     "OPERATOR_TOPIC",
+    "STORE_ERA_FIELD",
     "SETTINGS_VARIABLE",
     "STORE_PORT",
     "configuration",
--- a/apricotwalk_lab/soak/_records.py
+++ b/apricotwalk_lab/soak/_records.py
@@ -70,6 +70,10 @@
         Time at which the node acknowledged that a server is leaving.
     published_at_by_version : dict of int to float
         Time at which the store accepted each version of the configuration.
+    arrivals_by_server : dict of str to list of float
+        Times at which requests reached each server, whether they ran or not.
+    limit_changes_by_server : dict of str to list of (float, float or None)
+        Times at which each server announced another limit, in requests per second or None.
     mismatched_answers : int
         Number of answers that callers received for requests they had not sent.
     """
@@ -80,4 +84,8 @@
     )
     left_at_by_server: dict[str, float] = field(default_factory=dict)
     published_at_by_version: dict[int, float] = field(default_factory=dict)
+    arrivals_by_server: dict[str, list[float]] = field(default_factory=lambda: defaultdict(list))
+    limit_changes_by_server: dict[str, list[tuple[float, float | None]]] = field(
+        default_factory=lambda: defaultdict(list)
+    )
     mismatched_answers: int = 0
--- a/apricotwalk_lab/soak/_server.py
+++ b/apricotwalk_lab/soak/_server.py
@@ -31,6 +31,8 @@
 ACKNOWLEDGE_TIMEOUT_SECONDS = 1.0
 WORK_SECONDS = 0.03
 SLOW_FACTOR = 12.0
+# A limited server accepts about half of its usual requests.
+LIMITED_REQUESTS_PER_SECOND = 3.0
 # A server that has ended is restarted after this pause.
 RESTART_SECONDS = 1.5
 # A leaving server keeps serving slightly longer than the bound after which it must receive no
@@ -89,6 +91,7 @@
         self._is_restarting = False
         self.is_leaving = False
         self.is_slow = False
+        self._is_limited = False
         self.loses_answers = False
         self.cuts_answers = False
 
@@ -98,6 +101,8 @@
         self._incarnation, self._sequence, self._running = next(_incarnation_numbers), 0, 0
         self.server_id = f"{self._name}-{self._start_count}"
         self.is_leaving = False
+        if self._is_limited:
+            self._record_limit()
         self._http = HTTPServer(Application([(r".*", _BackendHandler, {"owner": self})]))
         self._http.listen(self._port, self._host)
         self._heartbeat_task = asyncio.create_task(self._send_heartbeats())
@@ -138,6 +143,24 @@
         await self.start()
         self._is_restarting = False
 
+    def set_limited(self, is_limited: bool) -> None:
+        """Announce a limit in each answer, or none; a new incarnation announces it anew."""
+        if is_limited == self._is_limited:
+            return
+        self._is_limited = is_limited
+        self._record_limit()
+
+    def announce(self, set_header: Callable[[str, str], None]) -> None:
+        """Set the header fields by which the server announces its limit and its leaving."""
+        if self._is_limited:
+            set_header(HEADER_FIELD_NAMES.announced_rate, str(LIMITED_REQUESTS_PER_SECOND))
+        if self.is_leaving:
+            set_header(HEADER_FIELD_NAMES.leaving, "1")
+
+    def _record_limit(self) -> None:
+        limits = self.records.limit_changes_by_server[self.server_id]
+        limits.append((self.clock(), LIMITED_REQUESTS_PER_SECOND if self._is_limited else None))
+
     async def work(self) -> None:
         """Wait for the random service time of one request."""
         factor = SLOW_FACTOR if self.is_slow else 1.0
@@ -207,6 +230,7 @@
         owner = self._owner
         request_id = self.request.headers.get(HEADER_FIELD_NAMES.request_id, "")
         self.set_header(HEADER_FIELD_NAMES.request_id, request_id)
+        owner.records.arrivals_by_server[owner.server_id].append(owner.clock())
         expected = self.request.headers.get(HEADER_FIELD_NAMES.expected_server, owner.server_id)
         if expected != owner.server_id:
             self.set_status(MISDIRECTED)
@@ -214,6 +238,7 @@
         if not owner.try_acquire_slot():
             self.set_status(UNAVAILABLE)
             self.set_header(HEADER_FIELD_NAMES.not_run, "1")
+            owner.announce(self.set_header)
             return
         server_id = owner.server_id
         executions = owner.records.executions_by_request[request_id]
@@ -234,6 +259,7 @@
             HEADER_FIELD_NAMES.signature, f"{server_id}.{sign_body(server_id, request_id, body)}"
         )
         self.set_header(HEADER_FIELD_NAMES.load, self._owner.load())
+        self._owner.announce(self.set_header)
         self.write(body)
         if self._owner.cuts_answers:
             # Send half of the body, then close the connection.
--- a/apricotwalk_lab/soak/_store.py
+++ b/apricotwalk_lab/soak/_store.py
@@ -2,13 +2,16 @@
 
 import asyncio
 import base64
+import bisect
 import struct
+import time
 from collections import defaultdict
 
 from tornado.httpserver import HTTPServer
 from tornado.web import Application, RequestHandler
 
 from apricotwalk.core import Service
+from apricotwalk_lab.soak._platform import STORE_ERA_FIELD
 
 __all__ = ["StoreStandIn"]
 
@@ -24,16 +27,26 @@
 class _Topic:
     def __init__(self) -> None:
         self.records: list[bytes] = []
+        self.stored_at: list[float] = []
         self.first = 0
         self.changed = asyncio.Event()
 
     def append(self, records: list[bytes]) -> int:
         offset = len(self.records)
         self.records += records
+        self.stored_at += [time.monotonic()] * len(records)
         self.changed.set()
         self.changed = asyncio.Event()
         return offset
 
+    def restore(self, copied_at: float) -> None:
+        """Lose the records that were stored after a monotonic time."""
+        kept_count = bisect.bisect(self.stored_at, copied_at)
+        del self.records[kept_count:], self.stored_at[kept_count:]
+        self.first = min(self.first, kept_count)
+        self.changed.set()
+        self.changed = asyncio.Event()
+
     def newest_by_key(self) -> dict[str, tuple[int, bytes]]:
         newest: dict[str, tuple[int, bytes]] = {}
         for offset, record in enumerate(self.records):
@@ -57,6 +70,7 @@
         self._host, self._port = host, port
         self._topics: dict[str, _Topic] = defaultdict(_Topic)
         self._server: HTTPServer | None = None
+        self.era = 1
         self.is_down = False
         self.delay_seconds = 0.0
         self.loses_answers = False
@@ -79,6 +93,12 @@
         for topic in self._topics.values():
             topic.first = len(topic.records)
 
+    def restore(self, age_seconds: float) -> None:
+        """Restore every topic from a copy of the given age; offsets are given out again."""
+        self.era += 1
+        for topic in self._topics.values():
+            topic.restore(time.monotonic() - age_seconds)
+
     def put(self, topic: str, key: str, value: bytes) -> None:
         """Append a keyed record, as the operator's tool does."""
         encoded = key.encode()
@@ -93,6 +113,10 @@
     def initialize(self, store: StoreStandIn) -> None:
         self._store = store
 
+    def prepare(self) -> None:
+        """State the era in each answer."""
+        self.set_header(STORE_ERA_FIELD, str(self._store.era))
+
     async def get(self, call: str) -> None:
         if not await self._check_available():
             return
@@ -101,12 +125,13 @@
             self._answer_newest(topic)
             return
         offset = int(self.get_argument("from"))
-        if offset < topic.first:
+        if not topic.first <= offset <= len(topic.records):
             self.set_status(GONE)
             self.finish({"first": topic.first})
             return
         if offset >= len(topic.records):
             await self._wait_for_records(topic)
+            self.prepare()
         body = _OFFSETS.pack(len(topic.records), topic.first)
         for record in topic.records[offset:]:
             body += _LENGTH.pack(len(record)) + record
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -28,6 +28,13 @@
     return records
 
 
+def new_limit_records(arrivals, limit_changes):
+    records = Records()
+    records.arrivals_by_server["s1"] = arrivals
+    records.limit_changes_by_server["s1"] = limit_changes
+    return records
+
+
 def new_try(request_id="q", route="menu", status=200, sent=1.0, ended=1.1, **fields):
     return CallerRequest(request_id, route, 0, sent, ended, status, **fields)
 
@@ -63,6 +70,11 @@
             PLAN_WITHOUT_FAULTS,
             "after its leaving was known",
         ),
+        (
+            new_limit_records([10.0 + n / 20 for n in range(36)], [(6.9, 5.0)]),
+            PLAN_WITHOUT_FAULTS,
+            "s1 announced 5.0 requests per second and got 36 in 4.0 s",
+        ),
         (
             new_records(
                 *[new_try(f"q{n}") for n in range(60)],
@@ -127,6 +139,19 @@
     assert check(PLAN_WITHOUT_FAULTS, records, [[0.0], [0.0]]) == []
 
 
+@pytest.mark.parametrize(
+    ("arrivals", "limit_changes"),
+    [
+        ([10.0 + n / 20 for n in range(35)], [(6.9, 5.0)]),
+        ([9.0 + n / 20 for n in range(17)] + [10.0 + n / 20 for n in range(35)], [(6.9, 5.0)]),
+        ([10.0 + n / 20 for n in range(60)], [(6.9, 5.0), (11.0, None)]),
+    ],
+)
+def test_arrivals_within_a_limit_or_outside_its_time_are_not_reported(arrivals, limit_changes):
+    records = new_limit_records(arrivals, limit_changes)
+    assert check(PLAN_WITHOUT_FAULTS, records, [[0.0], [0.0]]) == []
+
+
 def test_seed_determines_the_plan():
     assert draw_plan(7) == draw_plan(7)
     assert draw_plan(7) != draw_plan(8)
