--- a/apricotwalk/forwarding/_backend_registry.py
+++ b/apricotwalk/forwarding/_backend_registry.py
@@ -118,7 +118,8 @@
             self._log.record_state_change("server-limit-unreadable", server=current.server)
         self._is_rate_readable = announcement.has_readable_rate
         if announcement.is_leaving:
-            # A heartbeat may not have stated the start yet; it is no later than the answer.
+            # Until a heartbeat states the start, the time of the first such answer bounds it.  That
+            # of later ones would only fill the history.
             started_ms = current.started_ms or int(self._clock.wall() * MILLISECONDS_PER_SECOND)
             if not self.is_leaving or current.started_ms:
                 self._depart(current.server, started_ms, "announced in an answer")
