--- a/apricotwalk/routing/_selector.py
+++ b/apricotwalk/routing/_selector.py
@@ -26,7 +26,7 @@
 # If more than half of a service's members fail, ejecting them only shifts their load to the rest.
 MAX_EJECTED_SHARE = 0.5
 MIN_SERVER_ERROR_STATUS = 500
-# A node that refuses work for the rate of its server has 0.25 s of work queued.
+# Shorter than the 0.25 s for which work may wait for the rate of a server.
 RATE_HOLD_SECONDS = 0.2
 
 
@@ -158,7 +158,7 @@
     def hold(self, instance: str, rank: int) -> None:
         """Send no more work of `rank` or less urgent to an instance that refused it for its rate.
 
-        The hold ends before the queue of the instance is empty.
+        The hold is shorter than the longest time for which work waits there.
         """
         now = self._clock.monotonic()
         self._statistics(instance).hold(rank, now + RATE_HOLD_SECONDS, now)
--- a/apricotwalk_lab/soak/_server.py
+++ b/apricotwalk_lab/soak/_server.py
@@ -31,7 +31,6 @@
 ACKNOWLEDGE_TIMEOUT_SECONDS = 1.0
 WORK_SECONDS = 0.03
 SLOW_FACTOR = 12.0
-# A limited server accepts about half of its usual requests.
 LIMITED_REQUESTS_PER_SECOND = 3.0
 # A server that has ended is restarted after this pause.
 RESTART_SECONDS = 1.5
