Accept only answers whose head is whole and whose request is certain

Cause: the end of a connection completed an answer whose head was not complete, so a caller got a 200 with an empty body, framed as whole. A response without an identifier was taken as the answer to the request now running on the connection, also if the server repeated an earlier refusal, and so was a repeated refusal with the identifier of an attempt that is sent to the same server again.

Change: an answer ends with its connection only after its head. A response without an identifier counts only on a connection that carried no other request. A connection does not carry an identifier again that was answered with an error there.

Refusals of different requests still share one connection.

--- a/apricotwalk/forwarding/_backend_pool.py
+++ b/apricotwalk/forwarding/_backend_pool.py
@@ -117,7 +117,7 @@
             With verdict ``NOT_RUN`` if no connection could be opened, and ``MAY_HAVE_RUN`` if no
             complete answer was received.
         """
-        connection = await self._acquire(at_most_once)
+        connection = await self._acquire(request_id, at_most_once)
         request = encode_request(method, target, fields, body)
         answer = connection.send(request, request_id, method == "HEAD")
         try:
@@ -144,20 +144,31 @@
         self._release(connection)
         return True
 
-    async def _acquire(self, at_most_once: bool) -> ServerConnection:
+    async def _acquire(self, request_id: str, at_most_once: bool) -> ServerConnection:
+        connection = self._take_idle(request_id, at_most_once)
+        return connection if connection is not None else await self._connect()
+
+    def _take_idle(self, request_id: str, at_most_once: bool) -> ServerConnection | None:
+        """Return the idle connection that was used last, or None if none is suitable."""
         now = time.monotonic()
-        while self._idle:
+        unsuitable: list[ServerConnection] = []
+        taken: ServerConnection | None = None
+        while self._idle and taken is None:
             connection = self._idle.pop()
             limit = connection.idle_limit_seconds - IDLE_MARGIN_SECONDS
             if limit == float("inf"):
                 limit = DEFAULT_IDLE_TIMEOUT_SECONDS
             if at_most_once:
                 limit = min(limit, AT_MOST_ONCE_MAX_IDLE_SECONDS)
-            if connection.is_reusable and now - connection.idle_since < limit:
-                return connection
-            connection.close()
-            self._open.discard(connection)
-        return await self._connect()
+            if not connection.is_reusable or now - connection.idle_since >= limit:
+                connection.close()
+                self._open.discard(connection)
+            elif request_id and connection.has_failed(request_id):
+                unsuitable.append(connection)
+            else:
+                taken = connection
+        self._idle.extend(reversed(unsuitable))
+        return taken
 
     async def _connect(self) -> ServerConnection:
         loop = asyncio.get_running_loop()
--- a/apricotwalk/http1/_client.py
+++ b/apricotwalk/http1/_client.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import time
+from collections import deque
 from dataclasses import dataclass
 from typing import cast
 
@@ -16,6 +17,10 @@
 # Four times the largest head that callers may send by default.
 MAX_HEAD_BYTES = 65_536
 FIRST_FINAL_STATUS = 200
+FIRST_ERROR_STATUS = 400
+# A request is sent to the same server again within its time limit of a few seconds at most, and a
+# server answers few requests on one connection in that time.
+MAX_FAILED_ID_COUNT = 64
 STATUSES_WITHOUT_BODY = (204, 304)
 
 
@@ -61,7 +66,10 @@
     Notes
     -----
     A response with another identifier belongs to an earlier request: it is dropped, and the
-    connection is not reused after the response to the current request.  The connection is not
+    connection is not reused after the response to the current request.  The same applies to a
+    response without an identifier, unless the connection has carried no other request.  A server
+    can repeat the answer to an earlier request, so an identifier that was answered with an error
+    should not be sent again on the same connection, see `has_failed`.  The connection is not
     reused either if bytes follow a complete response, if a response arrives before the request is
     written completely, or if the end of a response is marked by the end of the connection.
     """
@@ -79,6 +87,8 @@
         self._parser = httptools.HttpResponseParser(self)
         self._answer: asyncio.Future[ServerAnswer] | None = None
         self._request_id = ""
+        self._request_count = 0
+        self._failed_ids: deque[str] = deque(maxlen=MAX_FAILED_ID_COUNT)
         self._is_head = False
         self._must_close = False
         self._has_known_length = False
@@ -99,6 +109,10 @@
         """Whether the connection is idle and may send another request."""
         return not self.is_closed and not self._must_close and self._answer is None
 
+    def has_failed(self, request_id: str) -> bool:
+        """Return whether a request with this identifier was answered with an error here."""
+        return request_id in self._failed_ids
+
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Store the transport; called by the event loop."""
         self._transport = cast(asyncio.Transport, transport)
@@ -116,6 +130,7 @@
         assert self._transport is not None
         self._answer = asyncio.get_running_loop().create_future()
         self._request_id = request_id
+        self._request_count += 1
         self._is_head = is_head
         self._in_head = True
         self._head_bytes = 0
@@ -171,7 +186,8 @@
 
         Called by the event loop.
         """
-        if self._in_message and not self._has_known_length and self._answer is not None:
+        is_head_complete = self._in_message and not self._in_head
+        if is_head_complete and not self._has_known_length and self._answer is not None:
             self._must_close = True
             self._complete()
         return False
@@ -235,12 +251,13 @@
         answer = self._answer
         if answer is None:
             return
-        echoed_id = self._values.get(self._id_field)
-        if echoed_id is not None and echoed_id != self._request_id:
+        if not self._belongs_to_request(self._values.get(self._id_field)):
             self._must_close = True
             self.unmatched_response_count += 1
             return
         self._answer = None
+        if self._parser.get_status_code() >= FIRST_ERROR_STATUS:
+            self._failed_ids.append(self._request_id)
         self._memory.release(self._drop_oversized)
         self.idle_since = time.monotonic()
         if self._transport is not None and self._transport.get_write_buffer_size():
@@ -255,6 +272,11 @@
                 )
             )
 
+    def _belongs_to_request(self, echoed_id: str | None) -> bool:
+        if echoed_id is None:
+            return self._request_count == 1 or not self._request_id
+        return echoed_id == self._request_id
+
     def _fail(self, detail: str) -> None:
         answer, self._answer = self._answer, None
         self._must_close = True
