Count attempts that end without a reply, and first attempts once

Cause: an attempt counted as sent only if a reply came. While connections between nodes broke, a repeatable request was sent again without end, past the route's limit on servers and outside the retry budget. A request that several rate-limited nodes refused earned a fraction of a retry at each of them.

Change: an attempt that may have run counts however it ends. A message says whether another node of the service has counted the first attempt.

--- a/apricotwalk/core/__init__.py
+++ b/apricotwalk/core/__init__.py
@@ -1,7 +1,7 @@
 """Verdicts, errors, clocks and supervision shared by every other package."""
 
 from apricotwalk.core._clock import Clock, ManualClock, SystemClock
-from apricotwalk.core._decoding import decode_payload
+from apricotwalk.core._decoding import MAX_COUNT, decode_payload, parse_count
 from apricotwalk.core._errors import (
     ApricotwalkError,
     CallFailure,
@@ -22,6 +22,7 @@
 
 __all__ = [
     "ALL_ON",
+    "MAX_COUNT",
     "ApricotwalkError",
     "CallFailure",
     "Clock",
@@ -43,4 +44,5 @@
     "WireError",
     "decode_payload",
     "new_identifier",
+    "parse_count",
 ]
--- a/apricotwalk/forwarding/_forwarder.py
+++ b/apricotwalk/forwarding/_forwarder.py
@@ -23,6 +23,8 @@
 REDIRECT_CAUSES = frozenset(
     {"leaving", "no-server", "peer-unreachable", "backend-unreachable", "backend-refused"}
 )
+# A node refuses with these causes before it counts a request as a first attempt.
+UNCOUNTED_CAUSES = frozenset({"leaving", "no-server"})
 UNREACHABLE_CAUSES = frozenset({"peer-unreachable", "connection-lost"})
 # A request waits this long at most until a member of its service is known; a membership change
 # arrives within a few milliseconds.
@@ -62,6 +64,8 @@
         Number of attempts that may have reached a backend server.
     redirects : int
         Number of refused attempts that count against the limit on redirects.
+    is_counted : bool
+        Whether a node of the service has counted the first attempt of this request.
     member : str
         Instance to which the latest attempt was sent.
     member_incarnation : int
@@ -79,6 +83,7 @@
     tried_instances: set[str] = field(default_factory=set)
     sent_count: int = 0
     redirects: int = 0
+    is_counted: bool = False
     member: str = ""
     member_incarnation: int = 0
 
@@ -214,9 +219,16 @@
         request.tried_instances.add(member.instance)
         request.member, request.member_incarnation = member.instance, member.incarnation
         message = self._to_message(request)
-        reply = await self._send(member, message)
+        try:
+            reply = await self._send(member, message)
+        except CallFailure as failure:
+            if failure.verdict is Verdict.MAY_HAVE_RUN:
+                request.sent_count += 1
+            raise
         if reply.verdict is not Verdict.NOT_RUN or reply.cause == "backend-refused":
             request.sent_count += 1
+        if reply.cause not in UNCOUNTED_CAUSES:
+            request.is_counted = True
         if reply.verdict is Verdict.COMPLETED:
             return reply
         raise CallFailure(
@@ -276,6 +288,7 @@
             rank=route.rank,
             at_most_once=route.execution is Execution.AT_MOST_ONCE,
             is_repeat=request.sent_count > 0,
+            is_counted=request.is_counted,
             remaining_ms=(request.deadline - self.clock()) * 1000,
             method=request.method,
             target=request.target,
--- a/apricotwalk/forwarding/_server_side.py
+++ b/apricotwalk/forwarding/_server_side.py
@@ -5,7 +5,7 @@
 
 from apricotwalk.admission import AdmissionController, Outcome, Permit, WorkItem
 from apricotwalk.border import HeaderFieldNames
-from apricotwalk.core import CallFailure, Verdict
+from apricotwalk.core import CallFailure, Verdict, parse_count
 from apricotwalk.forwarding._announcements import AnnouncementReader
 from apricotwalk.forwarding._backend_pool import BackendPool
 from apricotwalk.forwarding._backend_registry import BackendRegistry, KnownServer
@@ -144,7 +144,8 @@
 
     def _require_retry_allowance(self, message: ForwardMessage) -> None:
         if not message.is_repeat:
-            self._allowance.record_first_attempt()
+            if not message.is_counted:
+                self._allowance.record_first_attempt()
         elif not self._allowance.try_acquire(message.rank):
             raise CallFailure(Verdict.NOT_RUN, "retry-budget", "no repeat is left in the budget")
 
@@ -233,9 +234,11 @@
     def _update_reported_load(self, text: str) -> None:
         """Update the load from ``running,waiting,slots``; a malformed value is ignored."""
         parts = text.split(",")
-        if len(parts) == 3 and all(part.strip().isdigit() for part in parts):
-            running, waiting, slots = (int(part) for part in parts)
-            self.reported_load = (running + waiting) / max(1, slots)
+        try:
+            running, waiting, slots = (parse_count(part.strip()) for part in parts)
+        except ValueError:
+            return
+        self.reported_load = (running + waiting) / max(1, slots)
 
 
 def _to_work_item(message: ForwardMessage, deadline: float) -> WorkItem:
--- a/apricotwalk/peering/_messages.py
+++ b/apricotwalk/peering/_messages.py
@@ -130,6 +130,9 @@
         Requests that the sender suspects of crashing backend servers.
     notice : ServerNotice or None
         Newest notice of the receiver's backend server that the sender received in a reply.
+    is_counted : bool
+        Whether another node of the service has counted the first attempt of this request, which
+        earns a fraction of a retry only once.
     """
 
     call: int
@@ -147,6 +150,7 @@
     caller_service: str
     suspects: list[Suspect] = []
     notice: ServerNotice | None = None
+    is_counted: bool = False
 
 
 class ReplyMessage(Struct, frozen=True, array_like=True, tag=5):
