Confine what cannot be understood to what it concerns

Cause: one route of an unknown kind made every node refuse the whole configuration for good, so a fleet with routes of kind download served nothing. Deep nesting raised RecursionError, which no caller of a decoder handled, so a reader of the store failed again and again at the same record. Numbers too large passed the decoders and failed later, when a limit was computed or a message encoded. One malformed item refused a whole page of the store, and a key was put into the request for the next page unquoted. A superscript digit in a load field ended an answer with an error.

Change: decode_payload is the only reader of foreign bytes and raises one type of error; ranges stand in the types. A configuration is decoded part by part: a malformed route refuses its own requests with 503, a route of an unknown kind is served as at-most-once work, limits and services that are malformed have no effect. Only an unreadable version or table of routes refuses a version. Rejections are logged within the rate limit of decisions and counted in a metric.

--- a/apricotwalk/border/__init__.py
+++ b/apricotwalk/border/__init__.py
@@ -8,13 +8,19 @@
 
 from apricotwalk.border._configuration import (
     CallerLimits,
+    ConfigurationFault,
     Route,
     RouteConfiguration,
     ServiceSettings,
     ServiceShare,
 )
 from apricotwalk.border._fields import HeaderFieldNames
-from apricotwalk.border._heartbeats import Heartbeat, HeartbeatCall, HeartbeatReader
+from apricotwalk.border._heartbeats import (
+    MAX_SLOT_COUNT,
+    Heartbeat,
+    HeartbeatCall,
+    HeartbeatReader,
+)
 from apricotwalk.border._platform import Platform
 from apricotwalk.border._settings import MeshBounds, MeshSettings
 from apricotwalk.border._store import (
@@ -26,7 +32,9 @@
 )
 
 __all__ = [
+    "MAX_SLOT_COUNT",
     "CallerLimits",
+    "ConfigurationFault",
     "HeaderFieldNames",
     "Heartbeat",
     "HeartbeatCall",
--- a/apricotwalk/border/_configuration.py
+++ b/apricotwalk/border/_configuration.py
@@ -4,7 +4,14 @@
 
 from apricotwalk.core import Execution
 
-__all__ = ["CallerLimits", "Route", "RouteConfiguration", "ServiceSettings", "ServiceShare"]
+__all__ = [
+    "CallerLimits",
+    "ConfigurationFault",
+    "Route",
+    "RouteConfiguration",
+    "ServiceSettings",
+    "ServiceShare",
+]
 
 
 @dataclass(frozen=True, slots=True)
@@ -23,6 +30,30 @@
     weight: float
 
 
+@dataclass(frozen=True, slots=True)
+class ConfigurationFault:
+    """A part of a configuration that could not be understood.
+
+    Parameters
+    ----------
+    path : str
+        Path of the part, such as ``routes.menu``.
+    detail : str
+        What was expected and what was found.
+    host, path_prefix : str or None
+        Host and path prefix of a route that is not in force because of the fault, if they are
+        readable.
+    disables_route : bool
+        Whether a route is not in force because of the fault.
+    """
+
+    path: str
+    detail: str
+    host: str | None = None
+    path_prefix: str | None = None
+    disables_route: bool = False
+
+
 @dataclass(frozen=True, slots=True)
 class Route:
     """How one kind of request is matched and treated.
@@ -107,18 +138,21 @@
     version : int
         Version number; a larger version replaces a smaller one.
     routes : tuple of Route
-        All routes of the mesh.
+        The routes that are understood.
     services_by_name : dict of str to ServiceSettings
         Settings of all services.
-    limits : CallerLimits
-        Limits on callers' requests.
+    limits : CallerLimits or None
+        Limits on callers' requests, or None if they are not understood.
     encoded : bytes
         The configuration as the operator published it, to be sent to nodes that cannot read
         the store.
+    faults : tuple of ConfigurationFault
+        Parts that are not understood; all others are in force.
     """
 
     version: int
     routes: tuple[Route, ...]
     services_by_name: dict[str, ServiceSettings]
-    limits: CallerLimits
+    limits: CallerLimits | None
     encoded: bytes = field(repr=False, default=b"")
+    faults: tuple[ConfigurationFault, ...] = ()
--- a/apricotwalk/border/_heartbeats.py
+++ b/apricotwalk/border/_heartbeats.py
@@ -5,7 +5,10 @@
 
 from apricotwalk.settings import Address
 
-__all__ = ["Heartbeat", "HeartbeatCall", "HeartbeatReader"]
+__all__ = ["MAX_SLOT_COUNT", "Heartbeat", "HeartbeatCall", "HeartbeatReader"]
+
+# No server runs this many requests at a time; the limits derived from it are float numbers.
+MAX_SLOT_COUNT = 1_000_000
 
 
 @dataclass(frozen=True, slots=True)
--- a/apricotwalk/claims/_claim_log.py
+++ b/apricotwalk/claims/_claim_log.py
@@ -9,7 +9,14 @@
 
 from apricotwalk.claims._outcomes import RESEND_WINDOW_SECONDS
 from apricotwalk.claims._owner import ClaimOwner
-from apricotwalk.core import Clock, LogServiceError, Service, Supervisor
+from apricotwalk.core import (
+    Clock,
+    LogServiceError,
+    Service,
+    Supervisor,
+    WireError,
+    decode_payload,
+)
 from apricotwalk.logservice import LogPage, LogRecord, LogService
 from apricotwalk.telemetry import EventLog
 
@@ -38,6 +45,9 @@
     keys: list[int]
 
 
+_decoder = msgspec.json.Decoder(ClaimRecord)
+
+
 @dataclass(slots=True)
 class _Claim:
     """A claim record read from the log; all the keys that it claims refer to it."""
@@ -249,8 +259,8 @@
     def _apply(self, shard: _Shard, record: LogRecord) -> None:
         shard.next_offset = record.offset + 1
         try:
-            claims = msgspec.json.decode(record.value, type=ClaimRecord)
-        except msgspec.MsgspecError as error:
+            claims = decode_payload(_decoder, record.value, "claims")
+        except WireError as error:
             self._events.record_state_change(
                 "record-unreadable", offset=record.offset, reason=str(error)
             )
--- a/apricotwalk/claims/_keys.py
+++ b/apricotwalk/claims/_keys.py
@@ -5,7 +5,7 @@
 from xxhash import xxh3_128_hexdigest
 
 from apricotwalk.claims._owner import ClaimOwner
-from apricotwalk.core import Clock, SettingsError, new_identifier
+from apricotwalk.core import Clock, SettingsError, new_identifier, parse_count
 from apricotwalk.settings import Address
 
 __all__ = ["IssuedKey", "KeyIssuer", "derive_key"]
@@ -46,13 +46,14 @@
     def parse(cls, text: str) -> "IssuedKey | None":
         """Parse the text form of an issued key; return None if `text` is any other key."""
         fields = text.split(FIELD_SEPARATOR)
-        if len(fields) != FIELD_COUNT or fields[0] != KEY_PREFIX or not fields[4].isdecimal():
+        if len(fields) != FIELD_COUNT or fields[0] != KEY_PREFIX:
             return None
         try:
             Address.parse(fields[3])
-        except SettingsError:
+            issued_ms = parse_count(fields[4])
+        except (SettingsError, ValueError):
             return None
-        return cls(ClaimOwner(fields[1], fields[2], fields[3]), int(fields[4]), fields[5])
+        return cls(ClaimOwner(fields[1], fields[2], fields[3]), issued_ms, fields[5])
 
     def __str__(self) -> str:
         """Return the text form of the key, as callers send it."""
--- a/apricotwalk/cli/_node_client.py
+++ b/apricotwalk/cli/_node_client.py
@@ -9,6 +9,7 @@
 from tornado.simple_httpclient import SimpleAsyncHTTPClient
 
 from apricotwalk.cli._exits import UnreachableError
+from apricotwalk.core import WireError, decode_payload
 from apricotwalk.settings import Address
 from apricotwalk.telemetry import EventReport, NodeStatus
 
@@ -131,6 +132,6 @@
         )
         try:
             response = await self._client.fetch(request)
-            return msgspec.json.decode(response.body, type=model)
-        except (OSError, HTTPClientError, msgspec.MsgspecError) as error:
+            return decode_payload(msgspec.json.Decoder(model), response.body, "answer")
+        except (OSError, HTTPClientError, WireError) as error:
             raise UnreachableError(f"node {address}: {error}") from error
--- a/apricotwalk/configuration/_gossip.py
+++ b/apricotwalk/configuration/_gossip.py
@@ -5,7 +5,7 @@
 from abc import ABC, abstractmethod
 from collections.abc import Callable
 
-import msgspec
+from msgspec import Struct
 
 from apricotwalk.configuration._history import RecordHistory
 from apricotwalk.configuration._messages import (
@@ -209,7 +209,7 @@
                 self._send(address, received)
             else:
                 self._delegate.apply_snapshot(received)
-        except (msgspec.MsgspecError, ValueError, PolicyError) as error:
+        except (ValueError, PolicyError) as error:
             raise WireError(f"refused snapshot: {error}") from error
 
     def _send_records_from(self, offset: int, address: Address) -> None:
@@ -257,5 +257,5 @@
         self.payload_messages += 1
         self._send(address, message)
 
-    def _send(self, address: Address, message: msgspec.Struct) -> None:
+    def _send(self, address: Address, message: Struct) -> None:
         self._socket.send(address, ControlKind.CONFIGURATION, message)
--- a/apricotwalk/configuration/_snapshots.py
+++ b/apricotwalk/configuration/_snapshots.py
@@ -5,7 +5,7 @@
 import msgspec
 
 from apricotwalk.configuration._messages import SnapshotPartMessage, SnapshotPullMessage
-from apricotwalk.core import Clock
+from apricotwalk.core import Clock, decode_payload
 from apricotwalk.policy import PolicyState, Snapshot
 
 __all__ = ["SnapshotReceiver", "SnapshotSender"]
@@ -14,6 +14,8 @@
 MAX_PART_COUNT = 1024
 SNAPSHOT_CACHE_SECONDS = 30.0
 
+_decoder = msgspec.msgpack.Decoder(Snapshot)
+
 
 class SnapshotSender:
     """Encodes a snapshot and serves its parts.
@@ -66,7 +68,7 @@
 
         Raises
         ------
-        msgspec.MsgspecError
+        WireError
             If the assembled content is malformed.
         """
         if message.part == 0:
@@ -78,4 +80,4 @@
         if len(self._contents) < message.parts:
             return SnapshotPullMessage(self._next_offset, len(self._contents))
         content, self._contents = b"".join(self._contents), []
-        return msgspec.msgpack.decode(content, type=Snapshot)
+        return decode_payload(_decoder, content, "snapshot")
--- a/apricotwalk/core/_server_notice.py
+++ b/apricotwalk/core/_server_notice.py
@@ -1,6 +1,10 @@
 """What a backend server announced about itself, as exchanged between nodes."""
 
-from msgspec import Struct
+from typing import Annotated
+
+from msgspec import Meta, Struct
+
+from apricotwalk.core._decoding import MAX_COUNT
 
 __all__ = ["ServerNotice"]
 
@@ -21,6 +25,6 @@
     """
 
     server: str
-    started_ms: int
+    started_ms: Annotated[int, Meta(ge=0, le=MAX_COUNT)]
     requests_per_second: float | None
     is_leaving: bool = False
--- a/apricotwalk/fleet/_configuration.py
+++ b/apricotwalk/fleet/_configuration.py
@@ -10,6 +10,9 @@
 
 __all__ = ["ConfigurationHolder"]
 
+# A configuration may have thousands of parts, and one mistake may affect all of them.
+MAX_LOGGED_FAULT_COUNT = 10
+
 ConfigurationReader = Callable[[str, bytes], RouteConfiguration | None]
 
 
@@ -55,8 +58,8 @@
         try:
             configuration = self._read(key, value)
         except RecordError as error:
-            self._log.record_state_change(
-                "configuration-rejected", source=source, detail=str(error)
+            self._log.record_rejection(
+                "configuration-rejected", key=key, source=source, detail=str(error)
             )
             return False
         if configuration is None or configuration.version <= self.version:
@@ -70,6 +73,14 @@
             former=previous_version,
             source=source,
             routes=len(configuration.routes),
+            faults=len(configuration.faults),
         )
+        for fault in configuration.faults[:MAX_LOGGED_FAULT_COUNT]:
+            self._log.record_rejection(
+                "configuration-part-rejected",
+                version=configuration.version,
+                path=fault.path,
+                detail=fault.detail,
+            )
         self.on_change(configuration)
         return True
--- a/apricotwalk/fleet/_members.py
+++ b/apricotwalk/fleet/_members.py
@@ -9,7 +9,7 @@
 from xxhash import xxh3_64_intdigest
 
 from apricotwalk.border import KeyedRecord, KeyedStream, StoreError
-from apricotwalk.core import Clock, Service, Supervisor
+from apricotwalk.core import Clock, Service, Supervisor, WireError, decode_payload
 from apricotwalk.fleet._follower import RecordConsumer
 from apricotwalk.fleet._store_backoff import StoreBackoff
 from apricotwalk.fleet._store_era import StoreEra
@@ -22,6 +22,8 @@
 # The nodes write their records to a restored store at this mean interval, which is half of the
 # smallest rate of writes that the operators' stores accept.
 REWRITE_SECONDS_PER_MEMBER = 0.005
+# Clocks of different machines differ by seconds; a record from further ahead has no node as source.
+MAX_CLOCK_LEAD_SECONDS = 86_400.0
 
 _encoder = msgspec.msgpack.Encoder()
 _decoder = msgspec.msgpack.Decoder(Member)
@@ -135,11 +137,11 @@
         if record.value is None:
             return self._apply_deletion(record.key)
         try:
-            member = _decoder.decode(record.value)
-        except (msgspec.MsgspecError, ValueError) as error:
-            self._log.record_state_change(
-                "member-record-rejected", key=record.key, detail=str(error)
-            )
+            member = decode_payload(_decoder, record.value, "member record")
+            if member.instance != record.key:
+                raise WireError(f"record of {member.instance!r} under the key of another instance")
+        except WireError as error:
+            self._reject(record.key, "store", str(error))
             return False
         return self.apply(member, "store")
 
@@ -152,7 +154,20 @@
         return had_updates
 
     def apply(self, member: Member, source: str) -> bool:
-        """Apply the record of another member if it is newer; return whether it was."""
+        """Apply the record of another member if it is newer; return whether it was.
+
+        Notes
+        -----
+        A record that no node can have written is rejected: a node without a port cannot be called,
+        and an incarnation from the future would outlive every genuine record.
+        """
+        max_wall_seconds = self._clock.wall() + MAX_CLOCK_LEAD_SECONDS
+        if not member.address.port or (
+            member.incarnation > max_wall_seconds * MICROSECONDS_PER_SECOND
+        ):
+            detail = f"address {member.address}, incarnation {member.incarnation}"
+            self._reject(member.instance, source, detail)
+            return False
         if member.instance == self.own.instance:
             self._reconcile_own(member)
             return False
@@ -171,6 +186,11 @@
         self.on_member_change(member)
         return True
 
+    def _reject(self, instance: str, source: str, detail: str) -> None:
+        self._log.record_rejection(
+            "member-record-rejected", key=instance, source=source, detail=detail
+        )
+
     def _update_tables(self, member: Member, previous: Member | None) -> None:
         if previous is not None and previous.service != member.service:
             self._tables_by_service[previous.service].remove(previous.instance)
--- a/apricotwalk/forwarding/_ingress.py
+++ b/apricotwalk/forwarding/_ingress.py
@@ -3,7 +3,7 @@
 import asyncio
 import time
 
-from apricotwalk.border import HeaderFieldNames, Route
+from apricotwalk.border import ConfigurationFault, HeaderFieldNames, Route
 from apricotwalk.core import CallFailure, Verdict
 from apricotwalk.fleet import ConfigurationHolder
 from apricotwalk.forwarding._deadlines import to_loop_time
@@ -129,6 +129,12 @@
                 f"version {table.configuration.version} has no route for {path}",
                 404,
             )
+        if isinstance(route, ConfigurationFault):
+            raise CallFailure(
+                Verdict.NOT_RUN,
+                "route-unreadable",
+                f"version {table.configuration.version}: {route.path} is not in force",
+            )
         return route
 
     def _to_outgoing(self, request: HttpRequest, request_id: str, route: Route) -> OutgoingRequest:
--- a/apricotwalk/logservice/_client.py
+++ b/apricotwalk/logservice/_client.py
@@ -6,7 +6,7 @@
 from tornado.httpclient import AsyncHTTPClient, HTTPClientError, HTTPRequest, HTTPResponse
 from tornado.simple_httpclient import SimpleAsyncHTTPClient
 
-from apricotwalk.core import LogServiceError
+from apricotwalk.core import LogServiceError, WireError, decode_payload
 from apricotwalk.logservice._interface import LogPage, LogService
 from apricotwalk.settings import Address
 
@@ -21,6 +21,10 @@
     offset: int
 
 
+_append_decoder = msgspec.json.Decoder(_AppendResult)
+_page_decoder = msgspec.json.Decoder(LogPage)
+
+
 class HttpLogService(LogService):
     """Client of a log service with a JSON API over HTTP.
 
@@ -39,20 +43,18 @@
         body = b"[" + b",".join(values) + b"]"
         response = await self._fetch(f"/streams/{stream}/records", "POST", body)
         try:
-            return msgspec.json.decode(response.body, type=_AppendResult).offset
-        except msgspec.MsgspecError as error:
-            raise LogServiceError(
-                f"append to {stream}: unreadable answer: {error}", True
-            ) from error
+            return decode_payload(_append_decoder, response.body, "answer").offset
+        except WireError as error:
+            raise LogServiceError(f"append to {stream}: {error}", True) from error
 
     async def read(self, stream: str, from_offset: int, limit: int = 200) -> LogPage:
         """Return records starting at `from_offset`; see `LogService.read`."""
         path = f"/streams/{stream}/records?from={from_offset}&limit={limit}"
         response = await self._fetch(path, "GET", None)
         try:
-            return msgspec.json.decode(response.body, type=LogPage)
-        except msgspec.MsgspecError as error:
-            raise LogServiceError(f"read of {stream}: unreadable answer: {error}") from error
+            return decode_payload(_page_decoder, response.body, "answer")
+        except WireError as error:
+            raise LogServiceError(f"read of {stream}: {error}") from error
 
     def close(self) -> None:
         """Close the connections of the client."""
--- a/apricotwalk/membership/_directory.py
+++ b/apricotwalk/membership/_directory.py
@@ -1,8 +1,9 @@
 """The log stream from which a starting node discovers the members of a service."""
 
 import msgspec
+from loguru import logger
 
-from apricotwalk.core import LogServiceError
+from apricotwalk.core import LogServiceError, WireError, decode_payload
 from apricotwalk.logservice import LogService
 from apricotwalk.membership._member import Member
 from apricotwalk.settings import Address
@@ -64,8 +65,9 @@
 
     def _keep_newest(self, value: msgspec.Raw, members_by_instance: dict[str, Member]) -> None:
         try:
-            member = _decoder.decode(value)
-        except (msgspec.MsgspecError, ValueError):
+            member = decode_payload(_decoder, value, "member record")
+        except WireError as error:
+            logger.warning("{}", error)
             return
         members_by_instance.pop(member.instance, None)
         members_by_instance[member.instance] = member
--- a/apricotwalk/membership/_member.py
+++ b/apricotwalk/membership/_member.py
@@ -1,13 +1,17 @@
 """Membership record of one node and its backend server."""
 
 from enum import IntEnum
+from typing import Annotated
 
-from msgspec import Struct
+from msgspec import Meta, Struct
 
 from apricotwalk.settings import Address
 
 __all__ = ["Member", "MemberState"]
 
+# An incarnation is a wall-clock time in microseconds; this value is reached in the year 2255.
+MAX_INCARNATION = 2**53
+
 
 class MemberState(IntEnum):
     """State of a member; the larger value takes precedence at the same incarnation."""
@@ -43,7 +47,7 @@
     availability_zone: str
     region: str
     address: Address
-    incarnation: int
+    incarnation: Annotated[int, Meta(ge=0, le=MAX_INCARNATION)]
     state: MemberState = MemberState.ALIVE
 
     def supersedes(self, other: "Member") -> bool:
--- a/apricotwalk/meshnode/_node.py
+++ b/apricotwalk/meshnode/_node.py
@@ -393,12 +393,13 @@
     def _apply_configuration(self, configuration: RouteConfiguration) -> None:
         self.links.ping_random(VERSION_FANOUT)
         limits = configuration.limits
-        self._caller_listener.limits = HttpLimits(
-            limits.max_head_bytes,
-            limits.max_body_bytes,
-            limits.head_seconds,
-            limits.idle_seconds,
-        )
+        if limits is not None:
+            self._caller_listener.limits = HttpLimits(
+                limits.max_head_bytes,
+                limits.max_body_bytes,
+                limits.head_seconds,
+                limits.idle_seconds,
+            )
         self._splitter.forget_others(configuration.routes)
         self._forwarder.systemic_failures.forget_others(
             {route.name for route in configuration.routes}
@@ -406,6 +407,8 @@
 
     def _refresh_gauges(self) -> None:
         self.metrics.configuration_version.set(self.configuration.version)
+        current = self.configuration.current
+        self.metrics.configuration_faults.set(len(current.faults) if current is not None else 0)
         self.metrics.members.set(len(self.members.all_members()))
         self.metrics.load.set(self.admission.load())
         announced_rate = self.registry.announced_rate
@@ -431,7 +434,12 @@
         """Keep a minimum number of peer connections open independently of requests."""
         while True:
             await asyncio.sleep(PEER_CHECK_INTERVAL_SECONDS)
-            others = [m for m in self._live_members() if m.instance != self.settings.instance]
+            others = [
+                member
+                for member in self._live_members()
+                if member.instance != self.settings.instance
+                and not self.links.is_connected(member.address)
+            ]
             if not others or self.links.open_count >= MIN_CONNECTED_PEER_COUNT:
                 continue
             # A failure is already logged as peer-lost, and the next iteration retries.
--- a/apricotwalk/meshnode/_probe.py
+++ b/apricotwalk/meshnode/_probe.py
@@ -3,8 +3,8 @@
 import asyncio
 import time
 
-from apricotwalk.border import HeaderFieldNames
-from apricotwalk.core import CallFailure
+from apricotwalk.border import MAX_SLOT_COUNT, HeaderFieldNames
+from apricotwalk.core import CallFailure, parse_count
 from apricotwalk.fleet import ConfigurationHolder
 from apricotwalk.forwarding import AnnouncementReader, BackendPool, BackendRegistry
 from apricotwalk.http1 import ServerAnswer, encode_field
@@ -89,5 +89,7 @@
 def _read_slots(answer: ServerAnswer, fields: HeaderFieldNames) -> int:
     """Return the slot count in the load field, or 0 if it is missing or not a number."""
     text = answer.values_by_name.get(fields.load.lower().encode(), "")
-    last = text.rpartition(",")[2].strip()
-    return int(last) if last.isdigit() else 0
+    try:
+        return parse_count(text.rpartition(",")[2].strip(), MAX_SLOT_COUNT)
+    except ValueError:
+        return 0
--- a/apricotwalk/metrics/_mesh_metrics.py
+++ b/apricotwalk/metrics/_mesh_metrics.py
@@ -46,6 +46,11 @@
             "Version of the configuration in force.",
             registry=self._registry,
         )
+        self.configuration_faults = Gauge(
+            "apricotwalk_configuration_faults",
+            "Parts of the configuration in force that are not understood.",
+            registry=self._registry,
+        )
         self.members = Gauge(
             "apricotwalk_members", "Membership records held.", registry=self._registry
         )
--- a/apricotwalk/node/_server_port.py
+++ b/apricotwalk/node/_server_port.py
@@ -4,7 +4,14 @@
 
 import msgspec
 
-from apricotwalk.core import ALL_ON, CallFailure, MechanismSwitches, Verdict
+from apricotwalk.core import (
+    ALL_ON,
+    CallFailure,
+    MechanismSwitches,
+    Verdict,
+    WireError,
+    decode_payload,
+)
 from apricotwalk.node._announcements import Announcement, ServerRegistry
 from apricotwalk.node._status import StatusReporter
 from apricotwalk.serving import Answer, InnerCalls
@@ -17,6 +24,8 @@
 
 CONTROL_PATH_PREFIX = "/apricotwalk/"
 
+_announcement_decoder = msgspec.json.Decoder(Announcement)
+
 
 class ServerPort(HttpPort):
     """Serves announcements, inner calls, and status and event queries.
@@ -81,8 +90,8 @@
 
     async def _announce(self, request: Request) -> bytes:
         try:
-            announcement = msgspec.json.decode(request.body, type=Announcement)
-        except msgspec.MsgspecError as error:
+            announcement = decode_payload(_announcement_decoder, request.body, "announcement")
+        except WireError as error:
             raise CallFailure(Verdict.NOT_RUN, "malformed-announcement", str(error), 400) from error
         await self._registry.announce(announcement)
         return b"{}"
--- a/apricotwalk/peering/_links.py
+++ b/apricotwalk/peering/_links.py
@@ -166,10 +166,7 @@
 
     def is_reachable(self, address: Address) -> bool:
         """Return whether a connection accepts calls or no outage of the peer is known."""
-        link = self._links_by_address.get(address)
-        if link is not None and link.accepts_calls:
-            return True
-        return address not in self._outages_by_address
+        return self.is_connected(address) or address not in self._outages_by_address
 
     async def call(self, address: Address, message: ForwardMessage) -> ReplyMessage:
         """Forward a request to the peer at `address` and wait for its reply.
@@ -193,6 +190,11 @@
         """Number of peers with a connection that accepts calls."""
         return sum(link.accepts_calls for link in self._links_by_address.values())
 
+    def is_connected(self, address: Address) -> bool:
+        """Return whether a connection to a peer is open and accepts calls."""
+        link = self._links_by_address.get(address)
+        return link is not None and link.accepts_calls
+
     async def connect(self, address: Address) -> None:
         """Ensure that a connection to a peer is open, so that both sides exchange their state.
 
--- a/apricotwalk/platform/_store.py
+++ b/apricotwalk/platform/_store.py
@@ -2,8 +2,10 @@
 
 import struct
 from dataclasses import dataclass
+from urllib.parse import quote
 
 import msgspec
+from loguru import logger
 from msgspec import Struct
 from tornado.httpclient import HTTPClientError, HTTPRequest, HTTPResponse
 from tornado.simple_httpclient import SimpleAsyncHTTPClient
@@ -15,6 +17,7 @@
     StoreError,
     StreamPage,
 )
+from apricotwalk.core import WireError, decode_payload, parse_count
 from apricotwalk.platform._names import STORE_ERA_FIELD
 from apricotwalk.settings import Address
 
@@ -42,17 +45,22 @@
 
 class _Item(Struct):
     key: str
-    offset: int
     value: bytes = b""  # The value is encoded in base64 on the wire.
 
 
+class _Key(Struct):
+    key: str
+
+
 class _NewestPage(Struct):
-    items: list[_Item]
+    items: list[msgspec.Raw]  # Items are decoded one by one, so that one cannot spoil the others.
     more: bool
     end: int
 
 
 _page_decoder = msgspec.json.Decoder(_NewestPage)
+_item_decoder = msgspec.json.Decoder(_Item)
+_key_decoder = msgspec.json.Decoder(_Key)
 
 
 @dataclass(frozen=True, slots=True)
@@ -158,10 +166,10 @@
             # The pages are not one consistent snapshot, so reading continues from the end offset
             # of the first page.
             first_end = page.end if first_end is None else first_end
-            records += [KeyedRecord(item.key, item.value) for item in page.items]
+            records += _decode_items(page.items)
             if not page.more or not page.items:
                 return StreamPage(tuple(records), first_end, era)
-            after = f"&after={page.items[-1].key}"
+            after = f"&after={quote(_last_key(page.items), safe='')}"
 
     async def read(self, offset: int, wait_seconds: float) -> StreamPage:
         """Read the records from an offset on; see `KeyedStream.read`."""
@@ -182,14 +190,46 @@
         path = f"/api/log-newest?{self._topic_query}{after}"
         answer = await self._client.fetch("GET", path, None, REQUEST_TIMEOUT_SECONDS)
         try:
-            return _page_decoder.decode(answer.body), answer.era
-        except msgspec.MsgspecError as error:
-            raise StoreError(f"GET {path}: unreadable answer: {error}") from error
+            return decode_payload(_page_decoder, answer.body, "page"), answer.era
+        except WireError as error:
+            raise StoreError(f"GET {path}: {error}") from error
 
 
 def _parse_era(text: str) -> int:
     """Return the era in a header field, or 0 if the store states none."""
-    return int(text) if text.isdecimal() else 0
+    try:
+        return parse_count(text)
+    except ValueError:
+        return 0
+
+
+def _decode_items(items: list[msgspec.Raw]) -> list[KeyedRecord]:
+    """Return the readable items of a page; the store also holds records of other writers."""
+    records: list[KeyedRecord] = []
+    for encoded in items:
+        try:
+            item = decode_payload(_item_decoder, encoded, "item")
+        except WireError as error:
+            logger.warning("store returned a malformed item: {}", error)
+        else:
+            records.append(KeyedRecord(item.key, item.value))
+    return records
+
+
+def _last_key(items: list[msgspec.Raw]) -> str:
+    """Return the last readable key of a page, from which the next page continues.
+
+    Raises
+    ------
+    StoreError
+        If no key is readable.
+    """
+    for encoded in reversed(items):
+        try:
+            return decode_payload(_key_decoder, encoded, "key").key
+        except WireError:
+            continue  # already logged as a malformed item
+    raise StoreError(f"log-newest: no readable key among {len(items)} items")
 
 
 def _encode_record(record: KeyedRecord) -> bytes:
--- a/apricotwalk/platform/_units.py
+++ b/apricotwalk/platform/_units.py
@@ -2,10 +2,12 @@
 
 import re
 
+from apricotwalk.core import parse_count
+
 __all__ = ["parse_seconds", "parse_version"]
 
-_DURATION = re.compile(r"(\d+(?:\.\d+)?)(ms|s)")
-_VERSION = re.compile(r"r(\d+)")
+_DURATION = re.compile(r"(\d{1,15}(?:\.\d{1,15})?)(ms|s)", re.ASCII)
+_VERSION = re.compile(r"r(\d+)", re.ASCII)
 MILLISECONDS_PER_SECOND = 1000
 
 
@@ -34,7 +36,7 @@
     """
     match = _DURATION.fullmatch(text)
     if match is None:
-        raise ValueError(f"expected a number with the unit ms or s, saw {text!r}")
+        raise ValueError(f"expected a number with the unit ms or s, saw {text[:40]!r}")
     number = float(match[1])
     return number / MILLISECONDS_PER_SECOND if match[2] == "ms" else number
 
@@ -64,5 +66,5 @@
     """
     match = _VERSION.fullmatch(text)
     if match is None:
-        raise ValueError(f"expected r followed by a number, got {text!r}")
-    return int(match[1])
+        raise ValueError(f"expected r followed by a number, got {text[:40]!r}")
+    return parse_count(match[1])
--- a/apricotwalk/policy/_records.py
+++ b/apricotwalk/policy/_records.py
@@ -5,7 +5,7 @@
 import msgspec
 from msgspec import Meta, Struct
 
-from apricotwalk.core import Execution, RecordError
+from apricotwalk.core import Execution, RecordError, WireError, decode_payload
 
 __all__ = [
     "CONFIGURATION_STREAM",
@@ -183,8 +183,8 @@
         constraint, and what was found.
     """
     try:
-        record: StreamRecord = _decoder.decode(text)
-    except msgspec.MsgspecError as error:
+        record: StreamRecord = decode_payload(_decoder, text, "record")
+    except WireError as error:
         raise RecordError(str(error)) from error
     return record
 
--- a/apricotwalk/telemetry/_decision_log.py
+++ b/apricotwalk/telemetry/_decision_log.py
@@ -89,15 +89,23 @@
         **fields
             Further fields of the line.
         """
-        if not self._acquire_token(MAX_BURST_LINE_COUNT / 2 if is_routine else 0.0):
-            self._omitted_count_by_kind[kind] = self._omitted_count_by_kind.get(kind, 0) + 1
-            return
-        self._append_line({"event": kind, "request": request_id, **fields})
+        if self._has_token(kind, MAX_BURST_LINE_COUNT / 2 if is_routine else 0.0):
+            self._append_line({"event": kind, "request": request_id, **fields})
 
     def record_state_change(self, kind: str, **fields: object) -> None:
         """Record a state change of the process; the rate limit does not apply."""
         self._append_line({"event": kind, **fields})
 
+    def record_rejection(self, kind: str, **fields: object) -> None:
+        """Record that foreign input was rejected, subject to the rate limit.
+
+        Notes
+        -----
+        A writer that repeats malformed input could otherwise displace every other line.
+        """
+        if self._has_token(kind, 0.0):
+            self._append_line({"event": kind, **fields})
+
     def flush(self) -> None:
         """Write as many buffered lines as possible without blocking."""
         while self._unwritten or self._lines:
@@ -133,6 +141,13 @@
         self._lines.append(line)
         self._backlog_bytes += len(line)
 
+    def _has_token(self, kind: str, reserved_tokens: float) -> bool:
+        """Consume a token for a line, or count the line as omitted if none is available."""
+        if self._acquire_token(reserved_tokens):
+            return True
+        self._omitted_count_by_kind[kind] = self._omitted_count_by_kind.get(kind, 0) + 1
+        return False
+
     def _acquire_token(self, reserved_tokens: float) -> bool:
         now = self._clock.monotonic()
         refill_tokens = (now - self._last_refill) * MAX_LINES_PER_SECOND
--- a/tests/test_mesh_path.py
+++ b/tests/test_mesh_path.py
@@ -302,6 +302,21 @@
     run(body())
 
 
+def test_node_opens_connections_to_different_peers(run):
+    """A node that drew the same peer each time would never have a second connection."""
+
+    async def body():
+        members = [("m1", "menu-svc"), ("m2", "menu-svc"), ("d1", "dispatch-svc")]
+        async with running_mesh(*members) as mesh:
+            for node in mesh.nodes.values():
+                node._random.choice = lambda items: items[0]
+            async with asyncio.timeout(2.0):
+                while any(node.links.open_count < 2 for node in mesh.nodes.values()):
+                    await asyncio.sleep(0.05)
+
+    run(body())
+
+
 def test_idle_node_receives_a_configuration_version_from_peers(run):
     async def body():
         members = [("m1", "menu-svc"), ("m2", "menu-svc"), ("d1", "dispatch-svc")]
