Let peers vouch for a node's copy of a stream

Every node long-polled until it knew five others, five nodes long-polled both streams, and each node polled however recently a peer had read.

Change: pings carry the age of a node's copy; a node polls only once its copy is stale. Three nodes long-poll the configuration and none the members. A node reads the directory once after it has written its own record. Calls are counted in a metric by stream and kind.

Tests of the schedule now name the number of long-polling nodes and add the delay after all copies became stale.

--- a/apricotwalk/border/_settings.py
+++ b/apricotwalk/border/_settings.py
@@ -70,6 +70,8 @@
         Usual time in seconds between two heartbeats.
     bounds : MeshBounds
         Time bounds and retry limits of the mesh.
+    is_first_start : bool
+        Whether the whole mesh starts for the first time, so that the store holds no members yet.
     """
 
     instance: str
@@ -86,3 +88,4 @@
     store: Address
     heartbeat_seconds: float
     bounds: MeshBounds
+    is_first_start: bool = False
--- a/apricotwalk/fleet/__init__.py
+++ b/apricotwalk/fleet/__init__.py
@@ -2,8 +2,16 @@
 
 from apricotwalk.fleet._configuration import ConfigurationHolder
 from apricotwalk.fleet._follower import StreamFollower
+from apricotwalk.fleet._freshness import Freshness
 from apricotwalk.fleet._members import FleetMembers
 from apricotwalk.fleet._reading_schedule import ReadingSchedule
 from apricotwalk.fleet._store_era import StoreEra
 
-__all__ = ["ConfigurationHolder", "FleetMembers", "ReadingSchedule", "StoreEra", "StreamFollower"]
+__all__ = [
+    "ConfigurationHolder",
+    "FleetMembers",
+    "Freshness",
+    "ReadingSchedule",
+    "StoreEra",
+    "StreamFollower",
+]
--- a/apricotwalk/fleet/_follower.py
+++ b/apricotwalk/fleet/_follower.py
@@ -3,10 +3,13 @@
 import asyncio
 import random
 from abc import ABC, abstractmethod
+from collections.abc import Callable
+from contextlib import suppress
 
 from apricotwalk.border import HistoryLostError, KeyedRecord, KeyedStream, StoreError
 from apricotwalk.core import Service, Supervisor
-from apricotwalk.fleet._reading_schedule import ReadingSchedule
+from apricotwalk.fleet._freshness import Freshness
+from apricotwalk.fleet._reading_schedule import NextRead, ReadingSchedule
 from apricotwalk.fleet._store_backoff import StoreBackoff
 from apricotwalk.fleet._store_era import StoreEra
 from apricotwalk.telemetry import DecisionLog
@@ -45,6 +48,12 @@
         Decides when to read and how long each read waits for records.
     store_era : StoreEra
         Newest known era of the store.
+    freshness : Freshness
+        Age of the copy that the consumer holds.  A poll is postponed while the copy is fresh.
+    first_read_delay_seconds : float
+        Time in seconds for which the first read waits for `request_read`.
+    count_call : callable
+        Called with the kind of each call to the store: ``newest`` or ``read``.
 
     Notes
     -----
@@ -61,7 +70,15 @@
         generator: random.Random,
         schedule: ReadingSchedule,
         store_era: StoreEra,
+        freshness: Freshness,
+        first_read_delay_seconds: float = 0.0,
+        count_call: Callable[[str], None] = lambda kind: None,
     ) -> None:
+        self._freshness = freshness
+        self._count_call = count_call
+        self._first_read_delay_seconds = first_read_delay_seconds
+        self.on_answer: Callable[[], None] = lambda: None
+        self._read_requested = asyncio.Event()
         self._schedule = schedule
         self._name = name
         self._stream = stream
@@ -89,7 +106,14 @@
         """Stop reading."""
         await self._supervisor.close()
 
+    def request_read(self) -> None:
+        """Read the stream as soon as possible, whatever the schedule says."""
+        self._read_requested.set()
+
     async def _follow(self) -> None:
+        if self._first_read_delay_seconds:
+            await self._wait_for_request(self._first_read_delay_seconds)
+            self._read_requested.clear()
         while True:
             try:
                 await self._read_once()
@@ -103,13 +127,15 @@
 
     async def _read_once(self) -> None:
         if self._offset is None:
+            self._count_call("newest")
             page = await self._stream.read_newest()
             self._era = page.era
             self._store_era.observe(page.era, "store")
             self._had_updates = self._consumer.apply_snapshot(page.records)
         else:
             read = self._schedule.next_read(self._had_records, self._had_updates)
-            await asyncio.sleep(read.pause_seconds)
+            await self._pause(read)
+            self._count_call("read")
             page = await self._stream.read(self._offset, read.wait_seconds)
             self._store_era.observe(page.era, "store")
             if page.era != self._era:
@@ -119,6 +145,24 @@
             )
         self._had_records = bool(page.records)
         self._offset = page.next_offset
+        self._freshness.observe(0.0)
+        self.on_answer()
+
+    async def _pause(self, read: NextRead) -> None:
+        """Wait until a read is due: a poll only after the copy has become stale."""
+        seconds = read.pause_seconds
+        while not self._read_requested.is_set():
+            await self._wait_for_request(seconds)
+            fresh_seconds = self._freshness.remaining_seconds
+            if read.wait_seconds or not fresh_seconds:
+                break
+            seconds = fresh_seconds + self._schedule.stale_delay()
+        self._read_requested.clear()
+
+    async def _wait_for_request(self, max_seconds: float) -> None:
+        with suppress(TimeoutError):
+            async with asyncio.timeout(max_seconds):
+                await self._read_requested.wait()
 
     async def _handle_store_error(self, error: StoreError) -> None:
         if not self._is_store_lost:
--- a/apricotwalk/fleet/_members.py
+++ b/apricotwalk/fleet/_members.py
@@ -22,8 +22,6 @@
 # The nodes write their records to a restored store at this mean interval, which is half of the
 # smallest rate of writes that the operators' stores accept.
 REWRITE_SECONDS_PER_MEMBER = 0.005
-# Clocks of different machines differ by seconds; a record from further ahead has no node as source.
-MAX_CLOCK_LEAD_SECONDS = 86_400.0
 
 _encoder = msgspec.msgpack.Encoder()
 _decoder = msgspec.msgpack.Decoder(Member)
@@ -77,6 +75,9 @@
         self._was_read_back = False
         self._needs_write = asyncio.Event()
         self._supervisor = Supervisor("fleet members")
+        self.on_first_write: Callable[[], None] = lambda: None
+        self._has_written = False
+        self.count_write: Callable[[], None] = lambda: None
         self.on_own_change: Callable[[Member], None] = lambda member: None
         self.on_member_change: Callable[[Member], None] = lambda member: None
 
@@ -158,15 +159,10 @@
 
         Notes
         -----
-        A record that no node can have written is rejected: a node without a port cannot be called,
-        and an incarnation from the future would outlive every genuine record.
+        A record without a port is rejected, because no node that can be called has written it.
         """
-        max_wall_seconds = self._clock.wall() + MAX_CLOCK_LEAD_SECONDS
-        if not member.address.port or (
-            member.incarnation > max_wall_seconds * MICROSECONDS_PER_SECOND
-        ):
-            detail = f"address {member.address}, incarnation {member.incarnation}"
-            self._reject(member.instance, source, detail)
+        if not member.address.port:
+            self._reject(member.instance, source, f"address {member.address} has no port")
             return False
         if member.instance == self.own.instance:
             self._reconcile_own(member)
@@ -253,10 +249,14 @@
             await self._needs_write.wait()
             self._needs_write.clear()
             own = self.own
+            self.count_write()
             try:
                 era = await self._stream.put(KeyedRecord(own.instance, _encoder.encode(own)))
                 self._store_era.observe(era, "store")
                 backoff.reset()
+                if not self._has_written:
+                    self._has_written = True
+                    self.on_first_write()
             except StoreError as error:
                 self._log.record_state_change("own-record-unwritten", detail=str(error))
                 self._needs_write.set()
--- a/apricotwalk/fleet/_reading_schedule.py
+++ b/apricotwalk/fleet/_reading_schedule.py
@@ -10,9 +10,6 @@
 
 __all__ = ["NextRead", "ReadingSchedule"]
 
-# One node that long-polls the store suffices in normal operation; the others cover for nodes that
-# are partitioned, stopped or refused by the store.
-LONG_POLLER_COUNT = 5
 # A node that finds a record at the store before a peer has sent it polls again soon, as happens
 # while a fleet starts.
 INITIAL_POLL_SECONDS = 0.5
@@ -59,6 +56,8 @@
         a new record is found while no long-polling node is connected.
     generator : random.Random
         Source of jitter, which spreads the reads of many nodes.
+    long_poller_count : int
+        Number of nodes that long-poll the store.
 
     Notes
     -----
@@ -66,7 +65,8 @@
     with the smallest hashes of their names [1]_, and the poll interval of the others grows with the
     number of nodes.  Records read by a long-polling node reach the others by gossip.  A poll that
     returns a record not received from peers shortens the next pause, because gossip alone is then
-    too slow.
+    too slow.  A node that is not yet listed among the members does not long-poll: while a fleet
+    starts, every node knows too few members to tell whether it is one of those nodes.
 
     References
     ----------
@@ -81,7 +81,9 @@
         wait_seconds: float,
         poll_gap_seconds: float,
         generator: random.Random,
+        long_poller_count: int,
     ) -> None:
+        self._long_poller_count = long_poller_count
         self._own = own
         self._own_hash = _hash(own)
         self._live_members = live_members
@@ -121,13 +123,22 @@
         jitter = self._random.uniform(MIN_JITTER, MAX_JITTER)
         return NextRead(self._poll_seconds * jitter, 0.0)
 
+    def stale_delay(self) -> float:
+        """Return how long a poll waits in seconds after the copy of the stream has become stale.
+
+        Notes
+        -----
+        All copies can become stale at the same time.  The delays of all nodes together are spread
+        evenly over the mean poll interval of a node, so that one of them polls soon, and the others
+        learn from it that their copies are complete.
+        """
+        return self._random.uniform(0.0, self._poll_seconds)
+
     def _is_long_poller_among(self, members: list[Member]) -> bool:
-        lower_hash_count = sum(
-            _hash(member.instance) < self._own_hash
-            for member in members
-            if member.instance != self._own
-        )
-        return lower_hash_count < LONG_POLLER_COUNT
+        if all(member.instance != self._own for member in members):
+            return False
+        lower_hash_count = sum(_hash(member.instance) < self._own_hash for member in members)
+        return lower_hash_count < self._long_poller_count
 
 
 def _hash(instance: str) -> int:
--- a/apricotwalk/membership/_member.py
+++ b/apricotwalk/membership/_member.py
@@ -9,8 +9,9 @@
 
 __all__ = ["Member", "MemberState"]
 
-# An incarnation is a wall-clock time in microseconds; this value is reached in the year 2255.
-MAX_INCARNATION = 2**53
+# A node that finds its record superseded continues from the larger incarnation, which must remain
+# below the largest integer that MessagePack can encode.
+MAX_INCARNATION = 2**62
 
 
 class MemberState(IntEnum):
--- a/apricotwalk/meshnode/_node.py
+++ b/apricotwalk/meshnode/_node.py
@@ -19,6 +19,7 @@
 from apricotwalk.fleet import (
     ConfigurationHolder,
     FleetMembers,
+    Freshness,
     ReadingSchedule,
     StoreEra,
     StreamFollower,
@@ -61,8 +62,22 @@
 # silent simultaneously, so that no peer has a newer version either.  The rest of the bound is left
 # for the detection of the missing answer and for the next read.
 CONFIGURATION_WAIT_FRACTION = 0.6
-# Stale membership only costs an additional hop, so its stream is read less often.
-MEMBERS_WAIT_SECONDS = 5.0
+# The nodes read the configuration only once it has not been known to be the newest one for this
+# fraction of the propagation bound.
+CONFIGURATION_MAX_AGE_FRACTION = 0.4
+# A few nodes learn of a new configuration at once.  One would not suffice, because it may be
+# stopped or partitioned from the store.
+CONFIGURATION_LONG_POLLER_COUNT = 3
+# Nodes announce changes of their own records to their peers, so the directory of members is needed
+# only by a node without peers and to join parts of a fleet that do not know each other.
+MEMBERS_MAX_AGE_SECONDS = 30.0
+# When a whole mesh starts for the first time, the store has no members until the nodes have written
+# their records, which they do after the first heartbeat, and usually no configuration either.
+FIRST_START_HEARTBEAT_COUNT = 2
+FIRST_START_CONFIGURATION_SECONDS = 1.0
+# A node that has read the configuration tells these peers that their copies are complete.  Pings
+# carry this on to all nodes of a fleet of 200 in three or four intervals.
+FRESHNESS_FANOUT = 8
 # Expired entries are restored within 2 s after the store is back, and peers gossip most of them.
 MEMBERS_POLL_GAP_SECONDS = 1.0
 # The longest random gap between polls has to stay below the 2 s bound for configuration changes.
@@ -113,8 +128,18 @@
         self.metrics = MeshMetrics()
         self.configuration = ConfigurationHolder(platform.decode_configuration, self.log)
         self.store_era = StoreEra(self.log)
+        self._configuration_freshness = Freshness(
+            self._clock, CONFIGURATION_MAX_AGE_FRACTION * settings.bounds.configuration_seconds
+        )
+        self._members_freshness = Freshness(self._clock, MEMBERS_MAX_AGE_SECONDS)
         self.members = self._build_members()
-        self._peer_handler = MeshPeerHandler(self.members, self.configuration, self.store_era)
+        self._peer_handler = MeshPeerHandler(
+            self.members,
+            self.configuration,
+            self.store_era,
+            self._configuration_freshness,
+            self._members_freshness,
+        )
         self.links = PeerLinks(self.members.own, self._peer_handler, self._random)
         self.registry = BackendRegistry(settings, self.log, self._clock)
         self.admission = RankQueueController(self._clock, UNUSED_MECHANISMS, limit=AnnouncedLimit())
@@ -157,6 +182,7 @@
         self.is_stopping = False
         self._notifications: set[asyncio.Task[None]] = set()
         self._supervisor = Supervisor("mesh node")
+        self._members_follower = self._build_members_follower()
         self._add_services()
 
     @property
@@ -167,9 +193,11 @@
     async def start(self) -> None:
         """Register the callbacks and start every service and background loop."""
         self.registry.on_change = self._handle_server_change
+        self.members.count_write = lambda: self.metrics.count_store_call("members", "write")
         self.members.on_own_change = self._broadcast_own_record
         self.members.on_member_change = self._gossip_change
         self.configuration.on_change = self._apply_configuration
+        self.members.on_first_write = self._find_members_if_alone
         self.store_era.on_restoration = self.members.handle_restoration
         await self._supervisor.start()
         self._supervisor.run_loop("probe", self._probe_backend)
@@ -291,30 +319,9 @@
 
     def _add_services(self) -> None:
         platform, settings = self._platform, self.settings
-        configuration_wait = CONFIGURATION_WAIT_FRACTION * settings.bounds.configuration_seconds
         self._supervisor.add(self.log)
-        self._supervisor.add(
-            StreamFollower(
-                "configuration",
-                platform.open_configuration_stream(),
-                self.configuration,
-                self.log,
-                self._random,
-                self._build_schedule(configuration_wait, CONFIGURATION_POLL_GAP_SECONDS),
-                self.store_era,
-            )
-        )
-        self._supervisor.add(
-            StreamFollower(
-                "members",
-                platform.open_membership_stream(),
-                self.members,
-                self.log,
-                self._random,
-                self._build_schedule(MEMBERS_WAIT_SECONDS, MEMBERS_POLL_GAP_SECONDS),
-                self.store_era,
-            )
-        )
+        self._supervisor.add(self._build_configuration_follower())
+        self._supervisor.add(self._members_follower)
         self._supervisor.add(self.members)
         self._supervisor.add(self.links)
         self._supervisor.add(self.pool)
@@ -327,14 +334,67 @@
         self._supervisor.add(self._caller_listener)
         self._supervisor.add(HttpListener(settings.readiness, readiness.answer))
 
-    def _build_schedule(self, wait_seconds: float, poll_gap_seconds: float) -> ReadingSchedule:
-        return ReadingSchedule(
+    def _build_configuration_follower(self) -> StreamFollower:
+        bound_seconds = self.settings.bounds.configuration_seconds
+        schedule = ReadingSchedule(
             self.settings.instance,
             self._live_members,
-            wait_seconds,
-            poll_gap_seconds,
+            CONFIGURATION_WAIT_FRACTION * bound_seconds,
+            CONFIGURATION_POLL_GAP_SECONDS,
             self._random,
+            CONFIGURATION_LONG_POLLER_COUNT,
         )
+        follower = StreamFollower(
+            "configuration",
+            self._platform.open_configuration_stream(),
+            self.configuration,
+            self.log,
+            self._random,
+            schedule,
+            self.store_era,
+            self._configuration_freshness,
+            FIRST_START_CONFIGURATION_SECONDS if self.settings.is_first_start else 0.0,
+            lambda kind: self.metrics.count_store_call("configuration", kind),
+        )
+        follower.on_answer = lambda: self.links.ping_random(FRESHNESS_FANOUT)
+        return follower
+
+    def _build_members_follower(self) -> StreamFollower:
+        schedule = ReadingSchedule(
+            self.settings.instance,
+            self._live_members,
+            0.0,
+            MEMBERS_POLL_GAP_SECONDS,
+            self._random,
+            long_poller_count=0,
+        )
+        return StreamFollower(
+            "members",
+            self._platform.open_membership_stream(),
+            self.members,
+            self.log,
+            self._random,
+            schedule,
+            self.store_era,
+            self._members_freshness,
+            (
+                FIRST_START_HEARTBEAT_COUNT * self.settings.heartbeat_seconds
+                if self.settings.is_first_start
+                else 0.0
+            ),
+            lambda kind: self.metrics.count_store_call("members", kind),
+        )
+
+    def _find_members_if_alone(self) -> None:
+        """Read the directory again if this node knows no other member to learn the others from.
+
+        Notes
+        -----
+        While a fleet starts, the directory is empty when most nodes read it first.  A node that
+        reads it after writing its own record finds every node that has written its record before.
+        """
+        if len(self.members.all_members()) <= 1:
+            self._members_follower.request_read()
 
     def _live_members(self) -> list[Member]:
         """Return this node and the other members that are alive and reachable."""
@@ -434,13 +494,15 @@
         """Keep a minimum number of peer connections open independently of requests."""
         while True:
             await asyncio.sleep(PEER_CHECK_INTERVAL_SECONDS)
+            if self.links.open_count >= MIN_CONNECTED_PEER_COUNT:
+                continue
             others = [
                 member
                 for member in self._live_members()
                 if member.instance != self.settings.instance
                 and not self.links.is_connected(member.address)
             ]
-            if not others or self.links.open_count >= MIN_CONNECTED_PEER_COUNT:
+            if not others:
                 continue
             # A failure is already logged as peer-lost, and the next iteration retries.
             with suppress(CallFailure):
--- a/apricotwalk/meshnode/_peers.py
+++ b/apricotwalk/meshnode/_peers.py
@@ -3,7 +3,7 @@
 import time
 from collections.abc import Callable
 
-from apricotwalk.fleet import ConfigurationHolder, FleetMembers, StoreEra
+from apricotwalk.fleet import ConfigurationHolder, FleetMembers, Freshness, StoreEra
 from apricotwalk.forwarding import ServerSideExecutor
 from apricotwalk.peering import (
     ConfigurationMessage,
@@ -40,11 +40,20 @@
         Configuration in force at this node.
     store_era : StoreEra
         Newest known era of the store.
+    configuration_freshness, members_freshness : Freshness
+        Ages of this node's configuration and membership records.
     """
 
     def __init__(
-        self, members: FleetMembers, configuration: ConfigurationHolder, store_era: StoreEra
+        self,
+        members: FleetMembers,
+        configuration: ConfigurationHolder,
+        store_era: StoreEra,
+        configuration_freshness: Freshness,
+        members_freshness: Freshness,
     ) -> None:
+        self._configuration_freshness = configuration_freshness
+        self._members_freshness = members_freshness
         self._members = members
         self._store_era = store_era
         self._configuration = configuration
@@ -60,7 +69,11 @@
     def gossip_digest(self) -> GossipDigest:
         """Return the content of pings; see `PeerHandler.gossip_digest`."""
         return GossipDigest(
-            self._configuration.version, self._members.digest(), self._store_era.value
+            self._configuration.version,
+            self._members.digest(),
+            self._store_era.value,
+            self._configuration_freshness.age_ms,
+            self._members_freshness.age_ms,
         )
 
     def handle_gossip_digest(
@@ -70,7 +83,11 @@
         self._store_era.observe(digest.store_era, "peer")
         if digest.configuration_version > self._configuration.version:
             send(ConfigurationRequest())
+        elif digest.configuration_age_ms is not None:
+            self._configuration_freshness.observe(digest.configuration_age_ms / 1000)
         if digest.members_digest == self._members.digest():
+            if digest.members_age_ms is not None:
+                self._members_freshness.observe(digest.members_age_ms / 1000)
             return
         now = time.monotonic()
         list_interval = EXCHANGE_SECONDS_PER_MEMBER * len(self._members.all_members())
--- a/apricotwalk/metrics/_mesh_metrics.py
+++ b/apricotwalk/metrics/_mesh_metrics.py
@@ -70,6 +70,12 @@
             ["is_repeat"],
             registry=self._registry,
         )
+        self._store_calls = Counter(
+            "apricotwalk_store_calls",
+            "Calls to the store, by stream and kind.",
+            ["stream", "kind"],
+            registry=self._registry,
+        )
         self._routes: set[str] = set()
 
     def count_answer(self, route: str, status: int, seconds: float) -> None:
@@ -89,6 +95,10 @@
         """Count a request that is sent to the backend server."""
         self._sent.labels(str(is_repeat).lower()).inc()
 
+    def count_store_call(self, stream: str, kind: str) -> None:
+        """Count a call to the store, whatever its outcome."""
+        self._store_calls.labels(stream, kind).inc()
+
     def observe_server_seconds(self, seconds: float) -> None:
         """Record the response time of the backend server in seconds."""
         self._server_seconds.observe(seconds)
--- a/apricotwalk/peering/_messages.py
+++ b/apricotwalk/peering/_messages.py
@@ -5,12 +5,12 @@
 The tags and the order of the fields are the wire format.
 """
 
-from typing import NamedTuple
+from typing import Annotated, NamedTuple
 
 import msgspec
-from msgspec import Struct
+from msgspec import Meta, Struct
 
-from apricotwalk.core import ServerNotice, Suspect, Verdict, decode_payload
+from apricotwalk.core import MAX_COUNT, ServerNotice, Suspect, Verdict, decode_payload
 from apricotwalk.membership import Member
 
 __all__ = [
@@ -56,11 +56,16 @@
         Digest of the membership records.
     store_era : int
         Newest known era of the store, 0 for none.
+    configuration_age_ms, members_age_ms : int or None
+        Time in milliseconds since the node's configuration and membership records were known to
+        be those of the store, or None if they never were.
     """
 
     configuration_version: int
     members_digest: int
     store_era: int
+    configuration_age_ms: int | None = None
+    members_age_ms: int | None = None
 
 
 class PingMessage(Struct, frozen=True, array_like=True, tag=2):
@@ -74,16 +79,26 @@
         Digest of the membership records held by the sender.
     store_era : int
         Newest era of the store known to the sender, 0 for none.
+    configuration_age_ms, members_age_ms : int or None
+        Ages of the sender's copies, see `GossipDigest`.
     """
 
     configuration_version: int
     members_digest: int
     store_era: int = 0
+    configuration_age_ms: Annotated[int, Meta(ge=0, le=MAX_COUNT)] | None = None
+    members_age_ms: Annotated[int, Meta(ge=0, le=MAX_COUNT)] | None = None
 
     @property
     def digest(self) -> GossipDigest:
         """The gossip digest of the sender."""
-        return GossipDigest(self.configuration_version, self.members_digest, self.store_era)
+        return GossipDigest(
+            self.configuration_version,
+            self.members_digest,
+            self.store_era,
+            self.configuration_age_ms,
+            self.members_age_ms,
+        )
 
 
 class PongMessage(Struct, frozen=True, array_like=True, tag=3):
@@ -92,11 +107,19 @@
     configuration_version: int
     members_digest: int
     store_era: int = 0
+    configuration_age_ms: Annotated[int, Meta(ge=0, le=MAX_COUNT)] | None = None
+    members_age_ms: Annotated[int, Meta(ge=0, le=MAX_COUNT)] | None = None
 
     @property
     def digest(self) -> GossipDigest:
         """The gossip digest of the sender."""
-        return GossipDigest(self.configuration_version, self.members_digest, self.store_era)
+        return GossipDigest(
+            self.configuration_version,
+            self.members_digest,
+            self.store_era,
+            self.configuration_age_ms,
+            self.members_age_ms,
+        )
 
 
 class ForwardMessage(Struct, frozen=True, array_like=True, tag=4):
--- a/apricotwalk/platform/_settings.py
+++ b/apricotwalk/platform/_settings.py
@@ -94,6 +94,7 @@
         store=fields.parse("platform.address", Address.parse),
         heartbeat_seconds=fields.parse("heartbeat-interval", parse_seconds),
         bounds=_parse_bounds(fields),
+        is_first_start=fields.parse("bootstrap", _parse_flag) if "bootstrap" in fields else False,
     )
 
 
@@ -108,6 +109,12 @@
     )
 
 
+def _parse_flag(value: str) -> bool:
+    if value not in ("true", "false"):
+        raise ValueError(f"expected true or false, got {value[:40]!r}")
+    return value == "true"
+
+
 def _parse_seed_peers(value: str, port: int) -> tuple[Address, ...]:
     """Return the peer addresses of the seeds, which the file lists by heartbeat address."""
     seeds = [Address.parse(seed) for seed in value.split(",") if seed]
@@ -136,6 +143,9 @@
         self._source = source
         self._values_by_name = values_by_name
 
+    def __contains__(self, name: str) -> bool:
+        return name in self._values_by_name
+
     def text(self, name: str) -> str:
         """Return the text of a field that must not be empty."""
         value = self.parse(name, str)
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -6,10 +6,11 @@
 from msgspec.structs import replace
 
 from apricotwalk.border import KeyedRecord
-from apricotwalk.core import ManualClock
+from apricotwalk.core import ManualClock, SystemClock
 from apricotwalk.fleet import (
     ConfigurationHolder,
     FleetMembers,
+    Freshness,
     ReadingSchedule,
     StoreEra,
     StreamFollower,
@@ -133,7 +134,9 @@
         stream = FakeStream()
         versions = [new_configuration(n, new_route("menu", "menu-svc")) for n in range(1, 6)]
         holder = new_holder(*versions)
-        schedule = ReadingSchedule("own", list, 1.0, 0.2, random.Random(1))
+        schedule = ReadingSchedule(
+            "own", lambda: [new_member("own")], 1.0, 0.2, random.Random(1), 3
+        )
         follower = StreamFollower(
             "c",
             stream,
@@ -142,6 +145,7 @@
             random.Random(1),
             schedule,
             StoreEra(new_discarding_log()),
+            Freshness(SystemClock(), 1.0),
         )
         stream.add(KeyedRecord("config", b"1"))
         await follower.start()
--- a/tests/test_foreign_input.py
+++ b/tests/test_foreign_input.py
@@ -15,10 +15,11 @@
 from hypothesis import strategies as st
 
 from apricotwalk.border import ConfigurationFault, KeyedRecord, StoreError
-from apricotwalk.core import ManualClock, RecordError, WireError
+from apricotwalk.core import ManualClock, RecordError, SystemClock, WireError
 from apricotwalk.fleet import (
     ConfigurationHolder,
     FleetMembers,
+    Freshness,
     ReadingSchedule,
     StoreEra,
     StreamFollower,
@@ -219,7 +220,9 @@
         msgspec.msgpack.encode(
             ["odd", "menu", "z", "r", {"host": "1.2.3.4", "port": 7}, 2**64 - 1]
         ),
-        msgspec.msgpack.encode(["odd", "menu", "z", "r", {"host": "1.2.3.4", "port": 7}, 2**53, 0]),
+        msgspec.msgpack.encode(
+            ["odd", "menu", "z", "r", {"host": "1.2.3.4", "port": 7}, 2**62 + 1, 0]
+        ),
         msgspec.msgpack.encode(["odd", "menu", "z", "r", {"host": "1.2.3.4", "port": 7}, -1, 0]),
         _encoder.encode(new_member("another")),
     ],
@@ -230,9 +233,16 @@
         stream = FakeStream()
         members = new_members(log)
         stream.add(KeyedRecord("odd", value))
-        schedule = ReadingSchedule("own", members.all_members, 0.05, 0.01, random.Random(1))
+        schedule = ReadingSchedule("own", members.all_members, 0.05, 0.01, random.Random(1), 3)
         follower = StreamFollower(
-            "members", stream, members, log, random.Random(1), schedule, StoreEra(log)
+            "members",
+            stream,
+            members,
+            log,
+            random.Random(1),
+            schedule,
+            StoreEra(log),
+            Freshness(SystemClock(), 0.0),
         )
         await follower.start()
         await asyncio.sleep(0.05)
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -97,6 +97,9 @@
     assert settings.seeds == (Address("10.1.0.9", 7620), Address("10.1.0.7", 7620))
     assert settings.bounds.configuration_seconds == 2.0
     assert parse_settings(SETTINGS.replace("10.1.0.9:8306,10.1.0.7:8306", ""), "x").seeds == ()
+    assert not settings.is_first_start
+    assert parse_settings(SETTINGS + "bootstrap=true\n", "x").is_first_start
+    assert not parse_settings(SETTINGS + "bootstrap=false\n", "x").is_first_start
 
 
 @pytest.mark.parametrize(
@@ -110,6 +113,7 @@
         ("=1500ms", "=1500", "settings.conf:11: heartbeat-interval"),
         ("=49", "=many", "settings.conf:17: bounds.budget-slack"),
         ("=7620,7635", "=", "settings.conf:9: internal-ports"),
+        ("a.field.of.the.future=1", "bootstrap=yes", "settings.conf:21: bootstrap"),
     ],
 )
 def test_error_names_the_malformed_setting(old, new, message):
--- a/tests/test_reading_schedule.py
+++ b/tests/test_reading_schedule.py
@@ -14,6 +14,7 @@
 from apricotwalk.settings import Address
 
 IDLE_SECONDS = 240.0
+LONG_POLLER_COUNT = 5
 # The site files of the external platform give rates of 2,000 and 6,000 reads per second, far above
 # this bound.
 MAX_READS_PER_SECOND = 12.0
@@ -30,7 +31,9 @@
 def new_schedules(members, alive=None):
     listed = members if alive is None else alive
     return [
-        ReadingSchedule(member.instance, lambda: listed, 1.2, 0.15, random.Random(number))
+        ReadingSchedule(
+            member.instance, lambda: listed, 1.2, 0.15, random.Random(number), LONG_POLLER_COUNT
+        )
         for number, member in enumerate(members)
     ]
 
@@ -61,7 +64,7 @@
 def test_some_node_polls_soon_even_without_long_pollers(count):
     members = new_members(count)
     schedules = [each for each in new_schedules(members) if not each.is_long_poller()]
-    assert len(schedules) == count - 5
+    assert len(schedules) == count - LONG_POLLER_COUNT
     times = [at for at in simulate_idle_reads(schedules) if at > IDLE_SECONDS / 2]
     gaps = [later - earlier for earlier, later in itertools.pairwise(times)]
     # Operators require a configuration to spread within 2 s; gossip has the remaining 0.5 s.
@@ -80,6 +83,24 @@
     assert sum(each.is_long_poller() for each in new_schedules(remaining, remaining)) == 5
 
 
+def test_node_that_is_not_yet_a_member_does_not_long_poll():
+    own = new_members(1)
+    assert not new_schedules(own, [])[0].is_long_poller()
+    assert new_schedules(own, own)[0].is_long_poller()
+
+
+@pytest.mark.parametrize("count", [14, 91, 300])
+def test_some_node_polls_soon_after_every_copy_has_become_stale(count):
+    schedules = new_schedules(new_members(count))
+    for schedule in schedules:
+        for _ in range(10):
+            schedule.next_read(had_records=False, had_updates=False)
+    first_delays = [min(each.stale_delay() for each in schedules) for _ in range(100)]
+    # Of the 2 s bound on configuration changes, 0.8 s may pass until a copy counts as stale, and
+    # gossip takes 0.5 s.
+    assert sorted(first_delays)[95] < 0.7
+
+
 def test_polls_are_frequent_while_the_store_has_updates_missing_from_peers():
     members = new_members(91)
     poller, *_ = (each for each in new_schedules(members) if not each.is_long_poller())
--- a/tests/test_restored_store.py
+++ b/tests/test_restored_store.py
@@ -7,7 +7,8 @@
 from hypothesis import strategies as st
 
 from apricotwalk.border import HistoryLostError, KeyedRecord
-from apricotwalk.fleet import StoreEra, StreamFollower
+from apricotwalk.core import ManualClock
+from apricotwalk.fleet import Freshness, StoreEra, StreamFollower
 from apricotwalk.fleet._reading_schedule import NextRead
 from apricotwalk.membership import MemberState
 from tests.mesh_fakes import FakeStream, new_configuration, new_route
@@ -31,7 +32,14 @@
 def new_follower(stream, holder):
     log = new_discarding_log()
     return StreamFollower(
-        "c", stream, holder, log, random.Random(1), ImmediateSchedule(), StoreEra(log)
+        "c",
+        stream,
+        holder,
+        log,
+        random.Random(1),
+        ImmediateSchedule(),
+        StoreEra(log),
+        Freshness(ManualClock(), 0.0),
     )
 
 
