Play odd entries, cut heads, repeated refusals and kills in turn in the soak

The four kinds have a generator of their own, so each seed keeps its other faults. The callers of the soak pair answers by their order, as callers do, because answers of a node name no request.

--- a/apricotwalk/http1/_client.py
+++ b/apricotwalk/http1/_client.py
@@ -62,6 +62,8 @@
         Lower-case names of further header fields to capture in `ServerAnswer.values_by_name`.
     memory : AnswerMemory, optional
         Bound on the memory that incomplete answers use; by default one of this connection alone.
+    requires_id : bool
+        Whether the peer repeats the identifier in each response, as backend servers do.
 
     Notes
     -----
@@ -79,8 +81,10 @@
         id_field: bytes,
         captured_fields: frozenset[bytes],
         memory: AnswerMemory | None = None,
+        requires_id: bool = True,
     ) -> None:
         self._memory = memory or AnswerMemory()
+        self._requires_id = requires_id
         self._id_field = id_field
         self._captured_fields = captured_fields | {id_field}
         self._transport: asyncio.Transport | None = None
@@ -274,7 +278,7 @@
 
     def _belongs_to_request(self, echoed_id: str | None) -> bool:
         if echoed_id is None:
-            return self._request_count == 1 or not self._request_id
+            return not self._requires_id or self._request_count == 1 or not self._request_id
         return echoed_id == self._request_id
 
     def _fail(self, detail: str) -> None:
--- a/apricotwalk_lab/soak/_callers.py
+++ b/apricotwalk_lab/soak/_callers.py
@@ -97,7 +97,9 @@
         try:
             async with asyncio.timeout(CONNECT_SECONDS):
                 transport, connection = await loop.create_connection(
-                    lambda: ServerConnection(id_field, frozenset({SIGNATURE_FIELD})),
+                    lambda: ServerConnection(
+                        id_field, frozenset({SIGNATURE_FIELD}), requires_id=False
+                    ),
                     self._hosts[node],
                     CALLER_PORT,
                 )
--- a/apricotwalk_lab/soak/_checks.py
+++ b/apricotwalk_lab/soak/_checks.py
@@ -44,6 +44,7 @@
 
 _STORE_FAULTS = frozenset(
     {
+        FaultKind.ODD_ENTRIES,
         FaultKind.STORE_DOWN,
         FaultKind.STORE_SLOW,
         FaultKind.STORE_ANSWERS_LOST,
--- a/apricotwalk_lab/soak/_faults.py
+++ b/apricotwalk_lab/soak/_faults.py
@@ -5,10 +5,17 @@
 from collections import Counter
 from collections.abc import Awaitable, Callable
 
+import msgspec
+
 from apricotwalk_lab.soak._callers import Callers
 from apricotwalk_lab.soak._fleet import NodeInstance
 from apricotwalk_lab.soak._plan import Fault, FaultKind
-from apricotwalk_lab.soak._platform import CONFIGURATION_KEY, OPERATOR_TOPIC, configuration
+from apricotwalk_lab.soak._platform import (
+    CONFIGURATION_KEY,
+    MEMBERS_TOPIC,
+    OPERATOR_TOPIC,
+    configuration,
+)
 from apricotwalk_lab.soak._records import Records
 from apricotwalk_lab.soak._store import StoreStandIn
 
@@ -16,6 +23,8 @@
 
 STORE_DELAY_SECONDS = 0.3
 BURST_FACTOR = 6.0
+# Requests to a slow server run longer than this.
+KILL_INTERVAL_SECONDS = 0.15
 # The operator notices a restoration and stores its newest version again after this time.
 REPUBLISH_SECONDS = 0.5
 
@@ -73,12 +82,40 @@
         await asyncio.sleep(REPUBLISH_SECONDS)
         self._store.put(OPERATOR_TOPIC, CONFIGURATION_KEY, self._newest_value)
 
+    def _put_odd_entries(self) -> None:
+        """Store entries of another writer among the records of the members."""
+        address = {"host": "127.0.0.1", "port": 65_536}
+        values = {
+            "odd-nesting": b"\x91" * 100_000,
+            "odd-number": msgspec.msgpack.encode(["odd-number", "menu", "z", "r", {}, 2**64 - 1]),
+            "odd-port": msgspec.msgpack.encode(["odd-port", "menu", "z", "r", address, 1, 0]),
+            "odd & text": b'{"service":' + b"[" * 100_000,
+        }
+        for key, value in values.items():
+            self._store.put(MEMBERS_TOPIC, key, value)
+
+    async def _kill_nodes_in_turn(self) -> None:
+        """Kill the nodes while requests run long, so that a request loses several connections."""
+        for instance in self._instances:
+            instance.server.is_slow = True
+        for instance in self._instances:
+            instance.send(signal.SIGKILL)
+            await asyncio.sleep(KILL_INTERVAL_SECONDS)
+        for instance in self._instances:
+            instance.server.is_slow = False
+
     async def inject(self, fault: Fault) -> None:
         """Wait until a fault is due, apply it, and revert it after its duration."""
         await asyncio.sleep(max(0.0, fault.at - self._clock()))
         if fault.kind is FaultKind.STORE_RESTORED:
             await self.restore_store(fault.seconds)
             return
+        if fault.kind is FaultKind.ODD_ENTRIES:
+            self._put_odd_entries()
+            return
+        if fault.kind is FaultKind.NODES_KILLED_IN_TURN:
+            await self._kill_nodes_in_turn()
+            return
         one_time = self._one_time_faults().get(fault.kind)
         if one_time is not None:
             await one_time(self._instances[fault.node])
@@ -124,6 +161,10 @@
                 instance.server.loses_answers = is_active
             case FaultKind.ANSWERS_CUT:
                 instance.server.cuts_answers = is_active
+            case FaultKind.HEADS_CUT:
+                instance.server.cuts_heads = is_active
+            case FaultKind.REFUSALS_REPEATED:
+                instance.server.repeats_refusals = is_active
             case FaultKind.SERVER_LINK_SILENT:
                 if is_active:
                     instance.server_link.blackhole_connections()
--- a/apricotwalk_lab/soak/_plan.py
+++ b/apricotwalk_lab/soak/_plan.py
@@ -41,10 +41,22 @@
     BURST = "burst"
     SERVER_LIMITED = "server-limited"
     STORE_RESTORED = "store-restored"
-
-
-# These kinds have a random generator of their own, so that each seed still draws its other faults.
-_SEPARATELY_DRAWN = (FaultKind.SERVER_LIMITED, FaultKind.STORE_RESTORED)
+    HEADS_CUT = "heads-cut"
+    REFUSALS_REPEATED = "refusals-repeated"
+    ODD_ENTRIES = "odd-entries"
+    NODES_KILLED_IN_TURN = "nodes-killed-in-turn"
+
+
+# Each group has a random generator of its own, so that each seed still draws its other faults.
+_SEPARATELY_DRAWN = {
+    "separate": (FaultKind.SERVER_LIMITED, FaultKind.STORE_RESTORED),
+    "foreign": (
+        FaultKind.HEADS_CUT,
+        FaultKind.REFUSALS_REPEATED,
+        FaultKind.ODD_ENTRIES,
+        FaultKind.NODES_KILLED_IN_TURN,
+    ),
+}
 MAX_SEPARATE_DRAW_COUNT = 3
 # A limit is judged in windows of 4 s that begin 3 s after it was announced.
 MIN_LIMITED_SECONDS = 7.0
@@ -105,23 +117,25 @@
     generator = random.Random(seed)
     services = tuple(("menu", "dispatch", "pupil")[i % 3] for i in range(node_count))
     faults: list[Fault] = []
+    separate_kinds = {kind for kinds in _SEPARATELY_DRAWN.values() for kind in kinds}
     count = generator.randint(MIN_FAULT_DRAW_COUNT, MAX_FAULT_DRAW_COUNT)
     while len(faults) < count:
-        kind = generator.choice([kind for kind in FaultKind if kind not in _SEPARATELY_DRAWN])
+        kind = generator.choice([kind for kind in FaultKind if kind not in separate_kinds])
         at = WARM_UP_SECONDS + generator.uniform(0.0, FAULT_PHASE_SECONDS)
         for repeat in range(generator.choice((1, 1, 2, 3))):
             seconds = generator.uniform(MIN_FAULT_SECONDS, MAX_FAULT_SECONDS)
             node = generator.randrange(node_count)
             faults.append(Fault(kind, at + repeat * generator.uniform(0.3, 1.5), seconds, node))
-    faults += _draw_separately(seed, node_count)
+    for group in _SEPARATELY_DRAWN:
+        faults += _draw_separately(seed, group, node_count)
     return SoakPlan(seed, services, tuple(sorted(faults, key=lambda fault: fault.at)))
 
 
-def _draw_separately(seed: int, node_count: int) -> list[Fault]:
-    generator = random.Random(f"{seed} separate")
+def _draw_separately(seed: int, group: str, node_count: int) -> list[Fault]:
+    generator = random.Random(f"{seed} {group}")
     faults: list[Fault] = []
     for _ in range(generator.randint(0, MAX_SEPARATE_DRAW_COUNT)):
-        kind = generator.choice(_SEPARATELY_DRAWN)
+        kind = generator.choice(_SEPARATELY_DRAWN[group])
         at = WARM_UP_SECONDS + generator.uniform(0.0, FAULT_PHASE_SECONDS)
         seconds = generator.uniform(MIN_FAULT_SECONDS, MAX_FAULT_SECONDS)
         if kind is FaultKind.SERVER_LIMITED:
--- a/apricotwalk_lab/soak/_server.py
+++ b/apricotwalk_lab/soak/_server.py
@@ -31,6 +31,8 @@
 ACKNOWLEDGE_TIMEOUT_SECONDS = 1.0
 WORK_SECONDS = 0.03
 SLOW_FACTOR = 12.0
+# While a server repeats refusals, it refuses this share of the requests, so that there are some.
+REFUSED_SHARE = 0.3
 LIMITED_REQUESTS_PER_SECOND = 3.0
 # A server that has ended is restarted after this pause.
 RESTART_SECONDS = 1.5
@@ -93,6 +95,8 @@
         self._is_limited = False
         self.loses_answers = False
         self.cuts_answers = False
+        self.cuts_heads = False
+        self.repeats_refusals = False
 
     async def start(self) -> None:
         """Start a new incarnation."""
@@ -166,9 +170,11 @@
         await asyncio.sleep(self._random.lognormvariate(0.0, 0.4) * WORK_SECONDS * factor)
 
     def try_acquire_slot(self) -> bool:
-        """Acquire a slot and return True, or return False if none is free."""
+        """Acquire a slot and return True, or return False if the request is to be refused."""
         if self._running >= SLOT_COUNT:
             return False
+        if self.repeats_refusals and self._random.random() < REFUSED_SHARE:
+            return False
         self._running += 1
         return True
 
@@ -234,10 +240,14 @@
         if expected != owner.server_id:
             self.set_status(MISDIRECTED)
             return
+        stream = self.request.connection.stream  # type: ignore[union-attr]
+        if owner.repeats_refusals and hasattr(stream, "refused_request"):
+            stream.write(_encode_refusal(stream.refused_request))
         if not owner.try_acquire_slot():
             self.set_status(UNAVAILABLE)
             self.set_header(HEADER_FIELD_NAMES.not_run, "1")
             owner.announce(self.set_header)
+            stream.refused_request = request_id
             return
         server_id = owner.server_id
         executions = owner.records.executions_by_request[request_id]
@@ -248,12 +258,20 @@
             owner.release_slot()
         self._answer(server_id, request_id)
 
+    def _body(self, server_id: str, request_id: str) -> bytes:
+        return f"{server_id} did {request_id} {self.request.path}\n".encode() * 20
+
     def _answer(self, server_id: str, request_id: str) -> None:
         stream = self.request.connection.stream  # type: ignore[union-attr]
+        if self._owner.cuts_heads:
+            body = self._body(server_id, request_id)
+            stream.write(_encode_cut_head(server_id, request_id, body))
+            stream.close()
+            return
         if self._owner.loses_answers or self._owner.server_id != server_id:
             stream.close()
             return
-        body = f"{server_id} did {request_id} {self.request.path}\n".encode() * 20
+        body = self._body(server_id, request_id)
         self.set_header(
             HEADER_FIELD_NAMES.signature, f"{server_id}.{sign_body(server_id, request_id, body)}"
         )
@@ -266,3 +284,20 @@
             self.set_header("Content-Length", len(body))
             self.flush()
             stream.close()
+
+
+def _encode_refusal(request_id: str) -> bytes:
+    """Return a refusal as it is repeated: with its identifier, or without one."""
+    names = HEADER_FIELD_NAMES
+    id_field = f"{names.request_id}: {request_id}\r\n" if request_id[-1:] in "02468ace" else ""
+    return f"HTTP/1.1 503 X\r\n{id_field}{names.not_run}: 1\r\nContent-Length: 0\r\n\r\n".encode()
+
+
+def _encode_cut_head(server_id: str, request_id: str, body: bytes) -> bytes:
+    """Return the head of a successful answer without its end."""
+    names = HEADER_FIELD_NAMES
+    signature = f"{server_id}.{sign_body(server_id, request_id, body)}"
+    return (
+        f"HTTP/1.1 200 OK\r\n{names.request_id}: {request_id}\r\n"
+        f"{names.signature}: {signature}\r\n"
+    ).encode()
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -10,13 +10,29 @@
 from apricotwalk_lab.soak import SoakPlan, draw_plan, run_soak
 from apricotwalk_lab.soak._checks import check
 from apricotwalk_lab.soak._fleet import NodeInstance
-from apricotwalk_lab.soak._plan import Fault, FaultKind
+from apricotwalk_lab.soak._plan import _SEPARATELY_DRAWN, Fault, FaultKind
 from apricotwalk_lab.soak._records import CallerRequest, Execution, Records
+from apricotwalk_lab.soak._server import _encode_cut_head, _encode_refusal
 
 PLAN_WITHOUT_FAULTS = SoakPlan(0, ("menu", "dispatch"), ())
 # This seed draws overlapping kills, stops and configuration changes, and a store that loses
 # answers.
 SHORT_RUN_SEED = 3
+FOREIGN_KINDS = _SEPARATELY_DRAWN["foreign"]
+FAULTS_OF_SEED_209 = [
+    "node-terminated",
+    "server-link-reset",
+    "server-link-reset",
+    "node-reloaded",
+    "node-terminated",
+    "node-reloaded",
+    "store-restored",
+    "node-reloaded",
+    "store-link-cut-back",
+    "store-forgets",
+    "answers-lost",
+    "store-restored",
+]
 
 
 def new_records(*tries, runs=(), left=(), published=()):
@@ -187,3 +203,22 @@
     report = asyncio.run(run_soak(draw_plan(SHORT_RUN_SEED, 5), tmp_path))
     assert report.broken == ()
     assert report.tries > 100
+
+
+def test_cut_head_ends_before_the_head_of_the_answer_does():
+    head = _encode_cut_head("s1", "q-1", b"done")
+    assert head.startswith(b"HTTP/1.1 200 OK\r\n")
+    assert head.endswith(b"\r\n")
+    assert b"\r\n\r\n" not in head
+
+
+def test_refusals_are_repeated_with_and_without_their_identifier():
+    repeated = [_encode_refusal(f"try-{number:06d}") for number in range(10)]
+    assert 0 < sum(b"try-" in refusal for refusal in repeated) < 10
+    assert all(refusal.endswith(b"\r\n\r\n") for refusal in repeated)
+
+
+def test_new_kinds_leave_the_other_faults_of_a_seed_as_they_were():
+    """Seeds that failed before are kept as regression cases."""
+    older = [fault.kind.value for fault in draw_plan(209).faults if fault.kind not in FOREIGN_KINDS]
+    assert older == FAULTS_OF_SEED_209
