Cut heads in the soak after the signature

Cause: the parser reports a field once the next line begins, so a head cut after the signature's line has no signature and is refused in any case.

--- a/apricotwalk_lab/soak/_server.py
+++ b/apricotwalk_lab/soak/_server.py
@@ -294,10 +294,10 @@
 
 
 def _encode_cut_head(server_id: str, request_id: str, body: bytes) -> bytes:
-    """Return the head of a successful answer without its end."""
+    """Return the head of a successful answer, cut in the name of a field after the signature."""
     names = HEADER_FIELD_NAMES
     signature = f"{server_id}.{sign_body(server_id, request_id, body)}"
     return (
         f"HTTP/1.1 200 OK\r\n{names.request_id}: {request_id}\r\n"
-        f"{names.signature}: {signature}\r\n"
+        f"{names.signature}: {signature}\r\nContent-Le"
     ).encode()
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -208,7 +208,7 @@
 def test_cut_head_ends_before_the_head_of_the_answer_does():
     head = _encode_cut_head("s1", "q-1", b"done")
     assert head.startswith(b"HTTP/1.1 200 OK\r\n")
-    assert head.endswith(b"\r\n")
+    assert b"Content-Length" not in head
     assert b"\r\n\r\n" not in head
 
 
