--- a/apricotwalk/peering/_messages.py
+++ b/apricotwalk/peering/_messages.py
@@ -68,8 +68,8 @@
     members_age_ms: int | None = None
 
 
-class PingMessage(Struct, frozen=True, array_like=True, tag=2):
-    """Heartbeat request that carries the gossip digest of the sender.
+class _DigestMessage(Struct, frozen=True, array_like=True):
+    """Message that carries the gossip digest of the sender.
 
     Parameters
     ----------
@@ -101,25 +101,12 @@
         )
 
 
-class PongMessage(Struct, frozen=True, array_like=True, tag=3):
-    """Answer to a ping, with the same fields for the answering node."""
+class PingMessage(_DigestMessage, frozen=True, array_like=True, tag=2):
+    """Heartbeat request that carries the gossip digest of the sender."""
 
-    configuration_version: int
-    members_digest: int
-    store_era: int = 0
-    configuration_age_ms: Annotated[int, Meta(ge=0, le=MAX_COUNT)] | None = None
-    members_age_ms: Annotated[int, Meta(ge=0, le=MAX_COUNT)] | None = None
 
-    @property
-    def digest(self) -> GossipDigest:
-        """The gossip digest of the sender."""
-        return GossipDigest(
-            self.configuration_version,
-            self.members_digest,
-            self.store_era,
-            self.configuration_age_ms,
-            self.members_age_ms,
-        )
+class PongMessage(_DigestMessage, frozen=True, array_like=True, tag=3):
+    """Answer to a ping, with the gossip digest of the answering node."""
 
 
 class ForwardMessage(Struct, frozen=True, array_like=True, tag=4):
