--- a/apricotwalk/meshnode/_node.py
+++ b/apricotwalk/meshnode/_node.py
@@ -75,8 +75,8 @@
 # their records, which they do after the first heartbeat, and usually no configuration either.
 FIRST_START_HEARTBEAT_COUNT = 2
 FIRST_START_CONFIGURATION_SECONDS = 1.0
-# A node that has read the configuration tells these peers that their copies are complete.  Pings
-# carry this on to all nodes of a fleet of 200 in three or four intervals.
+# A node that has read the configuration pings this number of peers, so that they learn at once that
+# their copies are complete; the pings of those peers carry it on.
 FRESHNESS_FANOUT = 8
 # Expired entries are restored within 2 s after the store is back, and peers gossip most of them.
 MEMBERS_POLL_GAP_SECONDS = 1.0
--- a/apricotwalk_lab/soak/_faults.py
+++ b/apricotwalk_lab/soak/_faults.py
@@ -23,7 +23,7 @@
 
 STORE_DELAY_SECONDS = 0.3
 BURST_FACTOR = 6.0
-# Requests to a slow server run longer than this.
+# A slow server takes longer than this for a request, so the next node ends while it runs.
 KILL_INTERVAL_SECONDS = 0.15
 # The operator notices a restoration and stores its newest version again after this time.
 REPUBLISH_SECONDS = 0.5
