Clear suspicion only after a run that the server completed

A crash also told the peers only the 16 newest suspects. Change: answers are validated before the suspicion is cleared, error statuses do not clear it, later crashes count again, and all requests that ran during a crash are sent to the peers.

--- a/apricotwalk/core/_suspect.py
+++ b/apricotwalk/core/_suspect.py
@@ -15,14 +15,32 @@
     crashes : list of str
         Identifiers of the crashes, sorted.
     is_cleared : bool
-        Whether the request has completed after it became suspected.
+        Whether every crash is cleared.  A peer that sends no `cleared_crashes` clears all of
+        `crashes` with this flag.
+    cleared_crashes : list of str
+        Identifiers of the crashes that the request did not cause, sorted, because it completed
+        after them.
     """
 
     fingerprint: int
     crashes: list[str]
     is_cleared: bool = False
+    cleared_crashes: list[str] = []
+
+    @property
+    def open_crash_count(self) -> int:
+        """Number of crashes that the request may have caused."""
+        return len(set(self.crashes) - self._cleared())
 
     def merge(self, other: "Suspect") -> "Suspect":
-        """Return the union of both entries, cleared if either is cleared."""
-        crashes = sorted({*self.crashes, *other.crashes})
-        return Suspect(self.fingerprint, crashes, self.is_cleared or other.is_cleared)
+        """Return the union of the crashes and of the cleared crashes of both entries."""
+        crashes = {*self.crashes, *other.crashes}
+        cleared = self._cleared() | other._cleared()
+        return Suspect(self.fingerprint, sorted(crashes), crashes <= cleared, sorted(cleared))
+
+    def clear(self) -> "Suspect":
+        """Return the entry with every crash known so far cleared; later crashes count again."""
+        return self.merge(Suspect(self.fingerprint, self.crashes, True))
+
+    def _cleared(self) -> set[str]:
+        return {*self.cleared_crashes, *(self.crashes if self.is_cleared else ())}
--- a/apricotwalk/forwarding/_server_side.py
+++ b/apricotwalk/forwarding/_server_side.py
@@ -184,7 +184,9 @@
         )
         run_id = f"{message.call} {message.request_id}"
         self._metrics.count_sent(message.is_repeat)
-        async with self._crash_watch.run(run_id, request_fingerprint, message.service, self._pool):
+        async with self._crash_watch.run(
+            run_id, request_fingerprint, message.service, self._pool
+        ) as watched_run:
             answer = await self._pool.send(
                 message.method,
                 message.target,
@@ -193,7 +195,9 @@
                 message.request_id,
                 message.at_most_once,
             )
-        self._validate_answer(answer, known_server)
+            self._validate_answer(answer, known_server)
+            # A failing server can answer with an error before it begins to execute the request.
+            watched_run.has_executed = answer.status < SERVER_ERROR_STATUS
         return answer
 
     def _request_fields(
--- a/apricotwalk/meshnode/_node.py
+++ b/apricotwalk/meshnode/_node.py
@@ -14,6 +14,7 @@
     Service,
     SettingsError,
     Supervisor,
+    Suspect,
     SystemClock,
 )
 from apricotwalk.fleet import (
@@ -419,9 +420,8 @@
         else:
             self.members.announce(MemberState.ALIVE, "the backend server is ready")
 
-    def _publish_suspects(self, service: str) -> None:
+    def _publish_suspects(self, service: str, suspects: list[Suspect]) -> None:
         """Send the suspects to the other nodes of the service, which then reject such requests."""
-        suspects = self.quarantine.suspects()
         self.log.record_state_change("server-crashed", service=service, suspects=len(suspects))
         for member in self.members.all_members():
             if member.service == service and member.instance != self.settings.instance:
--- a/apricotwalk/node/_call_plane.py
+++ b/apricotwalk/node/_call_plane.py
@@ -52,9 +52,7 @@
         self._quarantine_registry = QuarantineRegistry(
             clock, is_enabled=switches.is_on(Mechanism.QUARANTINE)
         )
-        self._suspect_broadcaster = SuspectBroadcaster(
-            self._quarantine_registry, membership, self.pool, context.events
-        )
+        self._suspect_broadcaster = SuspectBroadcaster(membership, self.pool, context.events)
         sheds_early = switches.is_on(Mechanism.EARLY_SHEDDING)
         self._thresholds = CalleeThresholds() if sheds_early else None
         self.executor = self._build_executor()
--- a/apricotwalk/quarantine/_crash_watch.py
+++ b/apricotwalk/quarantine/_crash_watch.py
@@ -5,7 +5,7 @@
 from types import TracebackType
 from typing import Protocol
 
-from apricotwalk.core import CallFailure, Verdict
+from apricotwalk.core import CallFailure, Suspect, Verdict
 from apricotwalk.quarantine._registry import QuarantineRegistry
 
 __all__ = ["CrashWatch"]
@@ -26,7 +26,8 @@
     registry : QuarantineRegistry
         Registry to which suspects are reported.
     notify_peers : callable
-        Called with the service after a report, so that other nodes are notified immediately.
+        Called with the service and all reported suspects after a crash, so that other nodes are
+        notified immediately.
 
     Notes
     -----
@@ -36,7 +37,10 @@
     """
 
     def __init__(
-        self, instance: str, registry: QuarantineRegistry, notify_peers: Callable[[str], None]
+        self,
+        instance: str,
+        registry: QuarantineRegistry,
+        notify_peers: Callable[[str, list[Suspect]], None],
     ) -> None:
         self.registry = registry
         self._instance = instance
@@ -62,6 +66,9 @@
     def run(self, call_id: str, fingerprint: int, service: str, backend: _Backend) -> "_WatchedRun":
         """Return a context that reports the request on a crash and clears its suspicion on success.
 
+        The body must raise for an answer that rejects the request, and reset `has_executed` of the
+        context for one that does not show whether the server executed the whole request.
+
         Raises
         ------
         CallFailure
@@ -119,17 +126,19 @@
                 return True
             if await backend.is_listening():
                 return False
-            self._report_running()
-            self._notify_peers(service)
+            self._notify_peers(service, self._report_running())
             return True
 
-    def _report_running(self) -> None:
+    def _report_running(self) -> list[Suspect]:
+        """Report the requests that may have caused a crash and return their entries."""
         self._crash_count += 1
         running = set(self._fingerprints_by_call_id.values())
         suspects = {suspect for suspect in running if self.registry.is_suspected(suspect)}
-        for fingerprint in suspects or running:
+        reported = suspects or running
+        for fingerprint in reported:
             self.registry.report(fingerprint, f"{self._instance}#{self._crash_count}")
         self._fingerprints_by_call_id.clear()
+        return [entry for fingerprint in reported for entry in self.registry.find(fingerprint)]
 
     def refuse_quarantined(self, fingerprint: int) -> None:
         """Raise `CallFailure` with verdict ``NOT_RUN`` if a request is quarantined."""
@@ -166,7 +175,7 @@
 class _WatchedRun:
     """Asynchronous context of `CrashWatch.run`."""
 
-    __slots__ = ("_backend", "_call_id", "_crash_watch", "_fingerprint", "_service")
+    __slots__ = ("_backend", "_call_id", "_crash_watch", "_fingerprint", "_service", "has_executed")
 
     def __init__(
         self,
@@ -181,9 +190,11 @@
         self._fingerprint = fingerprint
         self._service = service
         self._backend = backend
+        self.has_executed = True
 
-    async def __aenter__(self) -> None:
+    async def __aenter__(self) -> "_WatchedRun":
         self._crash_watch.begin(self._call_id, self._fingerprint)
+        return self
 
     async def __aexit__(
         self,
@@ -193,7 +204,8 @@
     ) -> None:
         try:
             if error is None:
-                self._crash_watch.registry.clear(self._fingerprint)
+                if self.has_executed:
+                    self._crash_watch.registry.clear(self._fingerprint)
             elif isinstance(error, CallFailure) and error.cause == "answer-incomplete":
                 await self._raise_if_crashed(error)
         finally:
--- a/apricotwalk/quarantine/_registry.py
+++ b/apricotwalk/quarantine/_registry.py
@@ -2,6 +2,7 @@
 
 from collections import OrderedDict
 from collections.abc import Iterable
+from itertools import islice
 
 from apricotwalk.core import Clock, Suspect
 
@@ -11,8 +12,9 @@
 CRASH_LIMIT = 2
 # Callers resend a request only within its deadline, which is ten minutes at most.
 EXPIRY_SECONDS = 600.0
-# An entry occupies about 50 bytes.
-MAX_SUSPECT_COUNT = 512
+# Every request that a server runs becomes a suspect when it crashes, and all servers of a service
+# may crash within seconds.  An entry occupies about 50 bytes.
+MAX_SUSPECT_COUNT = 4096
 # This number of suspects fits into one packet together with a request.
 MAX_PIGGYBACKED_COUNT = 16
 
@@ -31,12 +33,12 @@
 
     Notes
     -----
-    A suspect is a set of crash identifiers and a flag, merged by union, so the order in which
-    nodes receive reports does not matter and duplicates have no effect [1]_.  The default limit
-    is two crashes: after the first one, a node executes one suspect at a time, so a second
-    crash identifies the request that caused it.  An attempt that is already in flight on
-    another node can then add at most a third crash.  A suspect that completes is cleared until
-    its entry expires.
+    A suspect is a set of crash identifiers and the subset that is cleared, merged by union, so the
+    order in which nodes receive reports does not matter and duplicates have no effect [1]_.  The
+    default limit is two crashes: after the first one, a node executes one suspect at a time, so a
+    second crash identifies the request that caused it.  An attempt that is already in flight on
+    another node can then add at most a third crash.  A suspect that completes is cleared of the
+    crashes known by then; later crashes count again.
 
     References
     ----------
@@ -68,21 +70,20 @@
         self._merge(Suspect(fingerprint, [crash_id]))
 
     def clear(self, fingerprint: int) -> None:
-        """Clear a suspected request that has completed."""
-        if self.is_suspected(fingerprint):
-            self._merge(Suspect(fingerprint, [], True))
+        """Clear a suspected request that has completed of the crashes known so far."""
+        suspect = self._find(fingerprint)
+        if suspect is not None and suspect.open_crash_count:
+            self._merge(suspect.clear())
 
     def is_suspected(self, fingerprint: int) -> bool:
         """Return whether a request may have crashed a backend server."""
         suspect = self._find(fingerprint)
-        return suspect is not None and not suspect.is_cleared
+        return suspect is not None and suspect.open_crash_count > 0
 
     def is_quarantined(self, fingerprint: int) -> bool:
         """Return whether a request must not be executed by any backend server."""
         suspect = self._find(fingerprint)
-        if suspect is None or suspect.is_cleared:
-            return False
-        return len(suspect.crashes) >= self._crash_limit
+        return suspect is not None and suspect.open_crash_count >= self._crash_limit
 
     def find(self, fingerprint: int) -> list[Suspect]:
         """Return the entry of one request, as a list of at most one suspect."""
@@ -90,9 +91,9 @@
         return [suspect] if suspect else []
 
     def suspects(self, max_count: int = MAX_PIGGYBACKED_COUNT) -> list[Suspect]:
-        """Return the most recently changed suspects, for messages to other nodes."""
+        """Return the most recently changed suspects, newest first, for messages to other nodes."""
         self._expire()
-        newest = list(self._suspects_by_fingerprint.values())[-max_count:]
+        newest = islice(reversed(self._suspects_by_fingerprint.values()), max_count)
         return [suspect for _, suspect in newest]
 
     def merge(self, suspects: Iterable[Suspect]) -> None:
@@ -111,7 +112,7 @@
         if not self._is_enabled:
             return
         known = self._suspects_by_fingerprint.get(suspect.fingerprint)
-        merged = known[1].merge(suspect) if known else suspect
+        merged = (known[1] if known else suspect).merge(suspect)
         if known is not None and merged == known[1]:
             return
         self._suspects_by_fingerprint[suspect.fingerprint] = (self._clock.monotonic(), merged)
--- a/apricotwalk/serving/_suspect_broadcaster.py
+++ b/apricotwalk/serving/_suspect_broadcaster.py
@@ -2,9 +2,8 @@
 
 import asyncio
 
-from apricotwalk.core import CallFailure, Service
+from apricotwalk.core import CallFailure, Service, Suspect
 from apricotwalk.membership import Member, Membership
-from apricotwalk.quarantine import QuarantineRegistry
 from apricotwalk.telemetry import EventLog
 from apricotwalk.wire import PeerPool, SuspectsMessage
 
@@ -14,12 +13,10 @@
 
 
 class SuspectBroadcaster(Service):
-    """Sends the newest suspects to the nodes of the other members of a service.
+    """Sends the suspects of a crash to the nodes of the other members of a service.
 
     Parameters
     ----------
-    registry : QuarantineRegistry
-        Source of the suspects.
     membership : Membership
         Source of the members of each service.
     pool : PeerPool
@@ -33,10 +30,7 @@
     call the service receive the same suspects with the answers to their calls.
     """
 
-    def __init__(
-        self, registry: QuarantineRegistry, membership: Membership, pool: PeerPool, events: EventLog
-    ) -> None:
-        self._registry = registry
+    def __init__(self, membership: Membership, pool: PeerPool, events: EventLog) -> None:
         self._membership = membership
         self._pool = pool
         self._events = events
@@ -51,9 +45,9 @@
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
 
-    def broadcast(self, service: str) -> None:
-        """Send the newest suspects to the nodes of the other members of `service`."""
-        message = SuspectsMessage(self._registry.suspects())
+    def broadcast(self, service: str, suspects: list[Suspect]) -> None:
+        """Send the suspects of a crash to the nodes of the other members of `service`."""
+        message = SuspectsMessage(suspects)
         self._events.record_state_change("server-crashed", suspects=len(message.suspects))
         for member in self._recipients(service):
             task = asyncio.create_task(self._send(member, message))
--- a/tests/test_executor.py
+++ b/tests/test_executor.py
@@ -80,7 +80,7 @@
 
 def new_executor(result=None, thresholds=None):
     admission = OpenAdmission()
-    watch = CrashWatch("a", QuarantineRegistry(ManualClock()), lambda service: None)
+    watch = CrashWatch("a", QuarantineRegistry(ManualClock()), lambda service, suspects: None)
     executor = Executor(
         admission, ActiveCalls(), new_events(), Metrics(None), watch, thresholds=thresholds
     )
--- a/tests/test_mesh_path.py
+++ b/tests/test_mesh_path.py
@@ -3,6 +3,8 @@
 import asyncio
 from dataclasses import replace
 
+import pytest
+
 from apricotwalk.meshnode import MeshNode
 from tests.mesh_fakes import (
     FakeCaller,
@@ -276,6 +278,39 @@
     run(body())
 
 
+@pytest.mark.parametrize("status", [503, 500])
+def test_crashing_request_that_a_failing_server_answers_stays_suspected(run, status):
+    """A rejection and the error of a failing server do not show that the request was executed."""
+    members = [(f"m{number}", "menu-svc") for number in range(1, 5)]
+
+    async def body():
+        async with running_mesh(*members) as mesh:
+            is_failing = False
+
+            def respond(server):
+                def crash_or_fail(request):
+                    if is_failing:
+                        fields = [("Refused", "full")] if status == 503 else []
+                        return FakeResponse(status, b"", fields=fields)
+                    return server.crash()
+
+                return crash_or_fail
+
+            for server in mesh.servers.values():
+                server.respond = respond(server)
+            caller = await mesh.caller("m1")
+            await caller.request("/menu/poison")
+            suspects = [node.quarantine.suspects() for node in mesh.nodes.values()]
+            fingerprint = next(each[0].fingerprint for each in suspects if each)
+            is_failing = True
+            await caller.request("/menu/poison")
+            await asyncio.sleep(0.1)
+            assert all(node.quarantine.is_suspected(fingerprint) for node in mesh.nodes.values())
+            caller.close()
+
+    run(body())
+
+
 def test_node_restarted_during_a_store_outage_pulls_state_from_peers_and_is_reachable(run):
     async def body():
         members = [("m1", "menu-svc"), ("d1", "dispatch-svc")]
--- a/tests/test_quarantine.py
+++ b/tests/test_quarantine.py
@@ -34,7 +34,7 @@
 
 
 def new_watch(instance="menu-1"):
-    return CrashWatch(instance, QuarantineRegistry(ManualClock()), lambda service: None)
+    return CrashWatch(instance, QuarantineRegistry(ManualClock()), lambda service, suspects: None)
 
 
 def crash_server(watch, *digests, backend=None):
@@ -118,6 +118,55 @@
     run(body())
 
 
+def test_crashes_after_a_completion_count_again(run):
+    async def body():
+        watch = new_watch()
+        watch.registry.report(CRASHING, "menu-2#1")
+        async with watch.run("c", CRASHING, "menu", FakeBackend()):
+            pass
+        assert not watch.registry.is_suspected(CRASHING)
+        for crash in ("menu-3#1", "menu-4#1"):
+            watch.registry.report(CRASHING, crash)
+        assert watch.registry.is_quarantined(CRASHING)
+
+    run(body())
+
+
+def test_rejected_suspect_stays_suspected(run):
+    async def body():
+        watch = new_watch()
+        watch.registry.report(CRASHING, "menu-2#1")
+        with pytest.raises(CallFailure):
+            async with watch.run("c", CRASHING, "menu", FakeBackend()):
+                raise CallFailure(Verdict.NOT_RUN, "backend-refused", "full")
+        async with watch.run("d", CRASHING, "menu", FakeBackend()) as watched_run:
+            watched_run.has_executed = False
+        watch.registry.report(CRASHING, "menu-3#1")
+        assert watch.registry.is_quarantined(CRASHING)
+
+    run(body())
+
+
+def test_every_request_that_ran_during_a_crash_is_told_to_the_peers(run):
+    told = []
+    watch = CrashWatch(
+        "menu-1",
+        QuarantineRegistry(ManualClock()),
+        lambda service, suspects: told.append((service, {each.fingerprint for each in suspects})),
+    )
+    run(crash_server(watch, *range(80)))
+    assert told == [("menu", set(range(80)))]
+
+
+def test_peer_without_cleared_crashes_clears_all_of_its_crashes():
+    registry = QuarantineRegistry(ManualClock())
+    registry.merge([Suspect(CRASHING, ["a#1", "b#1"], True)])
+    registry.report(CRASHING, "b#1")
+    assert not registry.is_suspected(CRASHING)
+    registry.report(CRASHING, "c#1")
+    assert registry.is_suspected(CRASHING) and not registry.is_quarantined(CRASHING)
+
+
 def test_suspects_run_one_at_a_time_beside_other_requests(run):
     async def body():
         watch = new_watch()
@@ -136,9 +185,9 @@
 def test_registry_is_bounded_and_its_entries_expire():
     clock = ManualClock()
     registry = QuarantineRegistry(clock)
-    for digest in range(2000):
+    for digest in range(10_000):
         registry.report(digest, "a#1")
-    assert len(registry.suspects(max_count=5000)) == 512
+    assert len(registry.suspects(max_count=10_000)) == 4096
     clock.advance(601.0)
     assert registry.suspects() == []
 
