Bound the memory of bodies, and answer every request in a planned stop

Change: large bodies are counted from the first byte until the kernel has taken the last one, wait for memory in turn, and cross between nodes in parts; heads, trailers, chunks and stray answers are bounded. A stopping node reads no further request behind pending ones, refuses what is complete after the notice, closes its side first, and ends once every answer is written.

--- a/apricotwalk/border/__init__.py
+++ b/apricotwalk/border/__init__.py
@@ -22,7 +22,7 @@
     HeartbeatReader,
 )
 from apricotwalk.border._platform import Platform
-from apricotwalk.border._settings import MeshBounds, MeshSettings
+from apricotwalk.border._settings import DEFAULT_MEMORY_BYTES, MeshBounds, MeshSettings
 from apricotwalk.border._store import (
     HistoryLostError,
     KeyedRecord,
@@ -32,6 +32,7 @@
 )
 
 __all__ = [
+    "DEFAULT_MEMORY_BYTES",
     "MAX_SLOT_COUNT",
     "CallerLimits",
     "ConfigurationFault",
--- a/apricotwalk/border/_settings.py
+++ b/apricotwalk/border/_settings.py
@@ -4,7 +4,10 @@
 
 from apricotwalk.settings import Address
 
-__all__ = ["MeshBounds", "MeshSettings"]
+__all__ = ["DEFAULT_MEMORY_BYTES", "MeshBounds", "MeshSettings"]
+
+# The smallest limit of the instances in use.
+DEFAULT_MEMORY_BYTES = 200 * 1024 * 1024
 
 
 @dataclass(frozen=True, slots=True)
@@ -72,6 +75,8 @@
         Time bounds and retry limits of the mesh.
     is_first_start : bool
         Whether the whole mesh starts for the first time, so that the store holds no members yet.
+    memory_bytes : int
+        Memory in bytes that the process may use before the platform kills it.
     """
 
     instance: str
@@ -89,3 +94,4 @@
     heartbeat_seconds: float
     bounds: MeshBounds
     is_first_start: bool = False
+    memory_bytes: int = DEFAULT_MEMORY_BYTES
--- a/apricotwalk/core/__init__.py
+++ b/apricotwalk/core/__init__.py
@@ -1,5 +1,6 @@
 """Verdicts, errors, clocks and supervision shared by every other package."""
 
+from apricotwalk.core._body_memory import SMALL_BODY_BYTES, BodyMemory, CountedBody
 from apricotwalk.core._clock import Clock, ManualClock, SystemClock
 from apricotwalk.core._decoding import MAX_COUNT, decode_payload, parse_count
 from apricotwalk.core._errors import (
@@ -23,9 +24,12 @@
 __all__ = [
     "ALL_ON",
     "MAX_COUNT",
+    "SMALL_BODY_BYTES",
     "ApricotwalkError",
+    "BodyMemory",
     "CallFailure",
     "Clock",
+    "CountedBody",
     "Execution",
     "LogServiceError",
     "ManualClock",
--- a/apricotwalk/forwarding/_backend_pool.py
+++ b/apricotwalk/forwarding/_backend_pool.py
@@ -5,14 +5,13 @@
 import time
 from collections import deque
 
-from apricotwalk.core import CallFailure, Service, Verdict
+from apricotwalk.core import BodyMemory, CallFailure, Service, Verdict
 from apricotwalk.http1 import (
-    AnswerMemory,
     ServerAnswer,
     ServerConnection,
     ServerConnectionLost,
     enable_keepalive,
-    encode_request,
+    encode_request_head,
 )
 from apricotwalk.settings import Address
 
@@ -28,6 +27,8 @@
 # Connections that have been idle for longer serve only requests that may be repeated, because
 # the server may have dropped them without notice.
 AT_MOST_ONCE_MAX_IDLE_SECONDS = 2.0
+# This default is for pools that are used without a node.
+DEFAULT_BODY_MEMORY_BYTES = 64 * 1024 * 1024
 
 
 class BackendPool(Service):
@@ -41,8 +42,8 @@
         Name of the header field that identifies a request; the answer repeats its value.
     captured_fields : tuple of str
         Names of the answer header fields whose values are kept.
-    memory : AnswerMemory, optional
-        Bound on the memory that all incomplete answers use together.
+    memory : BodyMemory, optional
+        Memory for the large bodies of answers.
 
     Attributes
     ----------
@@ -55,14 +56,14 @@
         address: Address,
         id_field: str,
         captured_fields: tuple[str, ...],
-        memory: AnswerMemory | None = None,
+        memory: BodyMemory | None = None,
     ) -> None:
         self.address = address
         self._id_field = id_field.lower().encode()
         self._captured_fields = frozenset(name.lower().encode() for name in captured_fields)
         self._idle: deque[ServerConnection] = deque()
         self._open: set[ServerConnection] = set()
-        self._memory = memory or AnswerMemory()
+        self._memory = memory or BodyMemory(DEFAULT_BODY_MEMORY_BYTES)
         self.unmatched_response_count = 0
 
     async def start(self) -> None:
@@ -87,7 +88,7 @@
         method: str,
         target: str,
         fields: bytes,
-        body: bytes,
+        body: bytes | bytearray,
         request_id: str,
         at_most_once: bool,
     ) -> ServerAnswer:
@@ -99,7 +100,7 @@
             HTTP request line.
         fields : bytes
             Encoded header fields.
-        body : bytes
+        body : bytes or bytearray
             Complete body.
         request_id : str
             Identifier that the answer must repeat.
@@ -118,8 +119,8 @@
             complete answer was received.
         """
         connection = await self._acquire(request_id, at_most_once)
-        request = encode_request(method, target, fields, body)
-        answer = connection.send(request, request_id, method == "HEAD")
+        head = encode_request_head(method, target, fields, len(body))
+        answer = connection.send(head, body, request_id, method == "HEAD")
         try:
             return await answer
         except ServerConnectionLost as error:
--- a/apricotwalk/forwarding/_forwarder.py
+++ b/apricotwalk/forwarding/_forwarder.py
@@ -4,6 +4,7 @@
 import time
 from collections.abc import Callable
 from dataclasses import dataclass, field
+from typing import cast
 
 from apricotwalk.border import Route
 from apricotwalk.core import CallFailure, Execution, ServerNotice, Verdict
@@ -21,7 +22,14 @@
 # A refusal before any server was reached costs only a round trip, so several are affordable.
 MAX_REDIRECT_COUNT = 4
 REDIRECT_CAUSES = frozenset(
-    {"leaving", "no-server", "peer-unreachable", "backend-unreachable", "backend-refused"}
+    {
+        "leaving",
+        "no-server",
+        "peer-unreachable",
+        "body-memory",
+        "backend-unreachable",
+        "backend-refused",
+    }
 )
 # A node refuses with these causes before it counts a request as a first attempt.
 UNCOUNTED_CAUSES = frozenset({"leaving", "no-server"})
@@ -56,7 +64,7 @@
         HTTP request line.
     fields : bytes
         End-to-end header fields.
-    body : bytes
+    body : bytes or bytearray
         Complete body.
     tried_instances : set of str
         Instances to which the request was sent.
@@ -79,7 +87,7 @@
     method: str
     target: str
     fields: bytes
-    body: bytes
+    body: bytes | bytearray
     tried_instances: set[str] = field(default_factory=set)
     sent_count: int = 0
     redirects: int = 0
@@ -295,7 +303,7 @@
             method=request.method,
             target=request.target,
             fields=request.fields,
-            body=request.body,
+            body=cast(bytes, request.body),  # a large body is not encoded, see BodyTransfers
             caller_service=self.caller_service,
             suspects=self._quarantine.suspects(),
             notice=self._notices_by_instance.get(request.member),
--- a/apricotwalk/forwarding/_ingress.py
+++ b/apricotwalk/forwarding/_ingress.py
@@ -46,6 +46,11 @@
         Records one line for each request.
     metrics : MeshMetrics
         Counts answers and measures their latency.
+
+    Attributes
+    ----------
+    is_stopping : bool
+        Whether requests are refused because this node ends before they would be answered.
     """
 
     def __init__(
@@ -66,6 +71,7 @@
         self._deadline_field = fields.deadline_ms.lower().encode()
         self._log = log
         self._metrics = metrics
+        self.is_stopping = False
 
     async def answer(self, request: HttpRequest) -> HttpResponse:
         """Forward a caller's request and return the response, also when it fails."""
@@ -73,6 +79,8 @@
         outgoing: OutgoingRequest | None = None
         cause = ""
         try:
+            if self.is_stopping:
+                raise CallFailure(Verdict.NOT_RUN, "stopping", "this node stops")
             outgoing = self._to_outgoing(request, request_id, self._find_route(request))
             response = await self._forward(outgoing)
         except CallFailure as failure:
--- a/apricotwalk/forwarding/_server_side.py
+++ b/apricotwalk/forwarding/_server_side.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import time
+from typing import cast
 
 from apricotwalk.admission import AdmissionController, Outcome, Permit, WorkItem
 from apricotwalk.border import HeaderFieldNames
@@ -110,7 +111,7 @@
             answer.status,
             "",
             answer.fields,
-            answer.body,
+            cast(bytes, answer.body),  # a large body is not encoded, see BodyTransfers
             self._admission.load(),
             self.reported_load,
             notice=self._registry.notice(),
@@ -118,6 +119,8 @@
 
     async def _run(self, message: ForwardMessage) -> ServerAnswer:
         deadline = time.monotonic() + message.remaining_ms / 1000
+        if self.is_stopping:
+            raise CallFailure(Verdict.NOT_RUN, "leaving", "this node stops")
         if message.service != self._registry.settings.service:
             raise CallFailure(Verdict.NOT_RUN, "no-server", "another service runs here")
         self._crash_watch.registry.merge(message.suspects)
--- a/apricotwalk/http1/__init__.py
+++ b/apricotwalk/http1/__init__.py
@@ -7,15 +7,14 @@
 also cannot distinguish a stray response from the response to the current request.
 """
 
-from apricotwalk.http1._answer_memory import AnswerMemory
-from apricotwalk.http1._client import ServerAnswer, ServerConnection, ServerConnectionLost
-from apricotwalk.http1._head import encode_field, encode_request, encode_response
+from apricotwalk.http1._answer_reader import ServerAnswer
+from apricotwalk.http1._client import ServerConnection, ServerConnectionLost
+from apricotwalk.http1._head import encode_field, encode_request_head, encode_response_head
 from apricotwalk.http1._keepalive import enable_keepalive
 from apricotwalk.http1._listener import HttpListener
 from apricotwalk.http1._messages import HttpLimits, HttpRequest, HttpResponse, text_response
 
 __all__ = [
-    "AnswerMemory",
     "HttpLimits",
     "HttpListener",
     "HttpRequest",
@@ -24,8 +23,8 @@
     "ServerConnection",
     "ServerConnectionLost",
     "encode_field",
-    "encode_request",
-    "encode_response",
+    "encode_request_head",
+    "encode_response_head",
     "text_response",
     "enable_keepalive",
 ]
--- a/apricotwalk/http1/_head.py
+++ b/apricotwalk/http1/_head.py
@@ -5,8 +5,8 @@
 __all__ = [
     "CONNECTION_FIELDS",
     "encode_field",
-    "encode_request",
-    "encode_response",
+    "encode_request_head",
+    "encode_response_head",
 ]
 
 # Hop-by-hop header fields are not forwarded (RFC 9110, section 7.6.1), and fields that describe the
@@ -45,31 +45,29 @@
     return f"{name}: {value}\r\n".encode("latin1")
 
 
-def encode_request(method: str, target: str, fields: bytes, body: bytes) -> bytes:
-    """Encode a request; `fields` are complete header lines, each terminated by CR LF."""
+def encode_request_head(method: str, target: str, fields: bytes, body_length: int) -> bytes:
+    """Encode the head of a request; `fields` are complete lines, each terminated by CR LF."""
     head = f"{method} {target} HTTP/1.1\r\n".encode("latin1")
-    if body or method not in ("GET", "HEAD", "DELETE", "OPTIONS"):
-        fields += b"Content-Length: %d\r\n" % len(body)
-    return head + fields + b"\r\n" + body
+    if body_length or method not in ("GET", "HEAD", "DELETE", "OPTIONS"):
+        fields += b"Content-Length: %d\r\n" % body_length
+    return head + fields + b"\r\n"
 
 
-def encode_response(status: int, fields: bytes, body: bytes, closes: bool, is_head: bool) -> bytes:
-    """Encode a response; `fields` are complete header lines, each terminated by CR LF.
+def encode_response_head(status: int, fields: bytes, body_length: int, closes: bool) -> bytes:
+    """Encode the head of a response; `fields` are complete lines, each terminated by CR LF.
 
     Parameters
     ----------
+    body_length : int
+        Number of bytes of the body, which a response to a HEAD request does not contain.
     closes : bool
         Whether the connection closes after the response.
-    is_head : bool
-        Whether the request was a HEAD request, so that the body is not sent.
     """
     line = _STATUS_LINES.get(status) or b"HTTP/1.1 %d -\r\n" % status
     parts = [line, fields]
     if status >= HTTPStatus.OK and status not in (HTTPStatus.NO_CONTENT, HTTPStatus.NOT_MODIFIED):
-        parts.append(b"Content-Length: %d\r\n" % len(body))
+        parts.append(b"Content-Length: %d\r\n" % body_length)
     if closes:
         parts.append(b"Connection: close\r\n")
     parts.append(b"\r\n")
-    if not is_head:
-        parts.append(body)
     return b"".join(parts)
--- a/apricotwalk/http1/_messages.py
+++ b/apricotwalk/http1/_messages.py
@@ -39,7 +39,7 @@
         End-to-end header fields, each terminated by CR LF, without the dropped fields.
     values_by_name : dict of bytes to str
         Values of the captured header fields, by lower-case name.
-    body : bytes
+    body : bytes or bytearray
         Complete body.
     arrived_at : float
         Monotonic time in seconds at which the first bytes of the request were parsed.
@@ -49,7 +49,7 @@
     target: str
     fields: bytes
     values_by_name: dict[bytes, str]
-    body: bytes
+    body: bytes | bytearray
     arrived_at: float
 
 
@@ -63,7 +63,7 @@
         HTTP status.
     fields : bytes
         Header fields, each terminated by CR LF.
-    body : bytes
+    body : bytes or bytearray
         Complete body.
     closes : bool
         Whether the connection closes after the response.
@@ -71,7 +71,7 @@
 
     status: int
     fields: bytes = b""
-    body: bytes = b""
+    body: bytes | bytearray = b""
     closes: bool = False
 
 
--- a/apricotwalk/meshnode/_node.py
+++ b/apricotwalk/meshnode/_node.py
@@ -9,6 +9,7 @@
 from apricotwalk.admission import AnnouncedLimit, RankQueueController
 from apricotwalk.border import MeshSettings, Platform, RouteConfiguration
 from apricotwalk.core import (
+    BodyMemory,
     CallFailure,
     Mechanism,
     Service,
@@ -101,6 +102,9 @@
 DRAIN_CHECK_INTERVAL_SECONDS = 0.02
 # Settings that change without a signal take effect within the bound for configuration changes.
 SETTINGS_CHECK_INTERVAL_SECONDS = 2.0
+# A node without large bodies uses less than this, with all of its connections and small bodies.
+BASE_MEMORY_BYTES = 60 * 1024 * 1024
+MIN_BODY_MEMORY_BYTES = 1024 * 1024
 # Seeds start within 0.3 s of this node and answer after half a second.
 SEED_RETRY_SECONDS = 1.0
 
@@ -141,7 +145,8 @@
             self._configuration_freshness,
             self._members_freshness,
         )
-        self.links = PeerLinks(self.members.own, self._peer_handler, self._random)
+        self.uploads, self.downloads = self._build_body_memories()
+        self.links = PeerLinks(self.members.own, self._peer_handler, self._random, self.downloads)
         self.registry = BackendRegistry(settings, self.log, self._clock)
         self.admission = RankQueueController(self._clock, UNUSED_MECHANISMS, limit=AnnouncedLimit())
         self.allowance = RetryAllowance(
@@ -162,6 +167,7 @@
                 platform.fields.leaving,
                 "Content-Encoding",
             ),
+            self.downloads,
         )
         self.quarantine = QuarantineRegistry(self._clock, CRASH_LIMIT)
         crash_watch = CrashWatch(settings.instance, self.quarantine, self._publish_suspects)
@@ -178,7 +184,7 @@
         self._peer_handler.executor = self.executor
         self._peer_handler.quarantine = self.quarantine
         self._splitter = ServiceSplitter(self._random)
-        self._peer_listener = PeerListener(settings.peers, self._peer_handler)
+        self._peer_listener = PeerListener(settings.peers, self._peer_handler, self.uploads)
         self._caller_listener = self._build_caller_listener()
         self.is_stopping = False
         self._notifications: set[asyncio.Task[None]] = set()
@@ -219,7 +225,9 @@
         Notes
         -----
         Callers may continue to use open connections, so connections without a request are closed
-        once callers have had the time to detect that the node is not ready.
+        once callers have had the time to detect that the node is not ready.  Requests that are
+        complete only after that time are refused, because too little of the stop time is left for
+        them.  The node stops as soon as the kernel has taken every answer.
         """
         self.log.record_state_change("node-stopping")
         began = time.monotonic()
@@ -229,6 +237,8 @@
         self._caller_listener.start_draining()
         await asyncio.sleep(READINESS_NOTICE_SECONDS)
         self._caller_listener.stop_listening()
+        self._ingress.is_stopping = True
+        self.executor.is_stopping = True
         deadline = began + self.settings.bounds.stop_seconds - STOP_MARGIN_SECONDS
         while time.monotonic() < deadline:
             self._caller_listener.close_idle()
@@ -261,8 +271,20 @@
 
     @property
     def is_busy(self) -> bool:
-        """Whether any request is in progress."""
-        return self._caller_listener.is_busy or self._peer_listener.calls_in_flight > 0
+        """Whether a request is in progress or an answer is not written completely."""
+        return self._caller_listener.is_busy or self._peer_listener.is_busy
+
+    def _build_body_memories(self) -> tuple[BodyMemory, BodyMemory]:
+        """Return the memories for the large bodies of requests and of answers.
+
+        Notes
+        -----
+        They are separate, because a request keeps its body until it is answered: if bodies of
+        requests used up all memory, no answer could arrive that frees it.
+        """
+        available_bytes = self.settings.memory_bytes - BASE_MEMORY_BYTES
+        max_bytes = max(MIN_BODY_MEMORY_BYTES, available_bytes // 2)
+        return BodyMemory(max_bytes), BodyMemory(max_bytes)
 
     def _build_members(self) -> FleetMembers:
         settings = self.settings
@@ -296,7 +318,7 @@
             self.log,
             self.settings.service,
         )
-        ingress = IngressHandler(
+        self._ingress = IngressHandler(
             self.configuration,
             self._splitter,
             self._forwarder,
@@ -307,7 +329,7 @@
         )
         return HttpListener(
             self.settings.callers,
-            ingress.answer,
+            self._ingress.answer,
             captured_fields=("Host", fields.request_id, fields.deadline_ms),
             dropped_fields=(
                 fields.request_id,
@@ -316,6 +338,7 @@
                 fields.expected_server,
             ),
             requires_host=True,
+            memory=self.uploads,
         )
 
     def _add_services(self) -> None:
@@ -471,6 +494,8 @@
         self.metrics.configuration_faults.set(len(current.faults) if current is not None else 0)
         self.metrics.members.set(len(self.members.all_members()))
         self.metrics.load.set(self.admission.load())
+        self.metrics.body_bytes.labels("requests").set(self.uploads.used_bytes)
+        self.metrics.body_bytes.labels("answers").set(self.downloads.used_bytes)
         announced_rate = self.registry.announced_rate
         self.metrics.announced_rate.set(inf if announced_rate is None else announced_rate)
 
--- a/apricotwalk/meshnode/_ports.py
+++ b/apricotwalk/meshnode/_ports.py
@@ -38,7 +38,7 @@
     async def answer(self, request: HttpRequest) -> HttpResponse:
         """Apply a heartbeat call and return its acknowledgement."""
         try:
-            call = self._reader.read(request.method, request.target, request.body)
+            call = self._reader.read(request.method, request.target, bytes(request.body))
         except WireError as error:
             self._log.record_state_change("heartbeat-rejected", detail=str(error))
             return text_response(HTTPStatus.BAD_REQUEST, f"{error}\n")
--- a/apricotwalk/metrics/_mesh_metrics.py
+++ b/apricotwalk/metrics/_mesh_metrics.py
@@ -64,6 +64,12 @@
             "Requests per second that the backend server announces as its limit; +Inf if none.",
             registry=self._registry,
         )
+        self.body_bytes = Gauge(
+            "apricotwalk_body_bytes",
+            "Bytes of large bodies of requests and of answers that the node holds.",
+            ["bodies"],
+            registry=self._registry,
+        )
         self._sent = Counter(
             "apricotwalk_server_requests",
             "Requests sent to the backend server.",
--- a/apricotwalk/peering/_frames.py
+++ b/apricotwalk/peering/_frames.py
@@ -14,27 +14,34 @@
 
 from loguru import logger
 
-from apricotwalk.core import WireError
+from apricotwalk.core import BodyMemory, WireError
+from apricotwalk.peering._body_transfers import BodyTransfers
 from apricotwalk.peering._messages import PeerMessage, decode_peer_message, encode_peer_message
 
 __all__ = ["FrameProtocol"]
 
 _LENGTH = struct.Struct(">I")
-# Bodies may have up to 64 MB on the external platform; the rest is for header fields and framing.
-MAX_FRAME_BYTES = 80 * 1024 * 1024
+# Large bodies cross in parts; the largest other message lists the members of the whole fleet.
+MAX_FRAME_BYTES = 16 * 1024 * 1024
 
 
 class FrameProtocol(asyncio.Protocol):
     """Connection that exchanges length-prefixed peer messages in both directions.
 
+    Parameters
+    ----------
+    memory : BodyMemory
+        Memory for the large bodies that are received.
+
     Notes
     -----
     A malformed or oversized frame closes the connection.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, memory: BodyMemory) -> None:
         self.transport: asyncio.Transport | None = None
         self._received = bytearray()
+        self.transfers = BodyTransfers(self.send, memory)
 
     @property
     def is_open(self) -> bool:
@@ -62,7 +69,8 @@
                     break
                 message = decode_peer_message(bytes(received[position + _LENGTH.size : end]))
                 position = end
-                self.handle_message(message)
+                if not self.transfers.handle(message):
+                    self.handle_message(self.transfers.attach(message))
         except WireError as error:
             logger.warning("peer sent a malformed message: {}", error)
             self.close()
@@ -70,6 +78,24 @@
         if position:
             del received[:position]
 
+    def pause_writing(self) -> None:
+        """Interrupt the transfer of bodies; called by the event loop."""
+        self.transfers.pause()
+
+    def resume_writing(self) -> None:
+        """Continue the transfer of bodies; called by the event loop."""
+        self.transfers.resume()
+
+    def connection_lost(self, error: Exception | None) -> None:
+        """End the transfer of bodies; called by the event loop."""
+        self.transfers.close()
+
+    @property
+    def unsent_bytes(self) -> int:
+        """Number of bytes that the kernel has not taken yet."""
+        transport = self.transport
+        return transport.get_write_buffer_size() if transport is not None and self.is_open else 0
+
     def send(self, message: PeerMessage) -> bool:
         """Write `message` to the transport and return whether the connection was open."""
         transport = self.transport
--- a/apricotwalk/peering/_links.py
+++ b/apricotwalk/peering/_links.py
@@ -7,8 +7,17 @@
 from dataclasses import dataclass
 
 from loguru import logger
-
-from apricotwalk.core import CallFailure, PauseDetector, Service, Supervisor, Verdict
+from msgspec.structs import replace
+
+from apricotwalk.core import (
+    SMALL_BODY_BYTES,
+    BodyMemory,
+    CallFailure,
+    PauseDetector,
+    Service,
+    Supervisor,
+    Verdict,
+)
 from apricotwalk.membership import Member
 from apricotwalk.peering._frames import FrameProtocol
 from apricotwalk.peering._listener import PeerHandler
@@ -42,6 +51,10 @@
 # A peer that is permanently gone is removed from the members.  A peer that is still called after
 # this time is dialled as if it were new.
 OUTAGE_RETENTION_SECONDS = 120.0
+# A peer that does not have the memory for a body within this time is passed over for another.
+BODY_ACCEPT_SECONDS = 2.0
+# This default is for links that are used without a node.
+DEFAULT_BODY_MEMORY_BYTES = 64 * 1024 * 1024
 
 
 @dataclass(slots=True)
@@ -54,8 +67,8 @@
 class _Link(FrameProtocol):
     """Open connection to a peer and the calls that wait for replies on it."""
 
-    def __init__(self, address: Address, handler: PeerHandler) -> None:
-        super().__init__()
+    def __init__(self, address: Address, handler: PeerHandler, memory: BodyMemory) -> None:
+        super().__init__(memory)
         self.address = address
         self._handler = handler
         self._pending_replies_by_call: dict[int, asyncio.Future[ReplyMessage]] = {}
@@ -71,8 +84,11 @@
     def pending_call_count(self) -> int:
         return len(self._pending_replies_by_call)
 
-    def handle_message(self, message: PeerMessage) -> None:
+    def data_received(self, data: bytes) -> None:
         self.pinged_at = 0.0
+        super().data_received(data)
+
+    def handle_message(self, message: PeerMessage) -> None:
         if isinstance(message, ReplyMessage):
             reply = self._pending_replies_by_call.pop(message.call, None)
             if reply is not None and not reply.done():
@@ -85,25 +101,51 @@
             self._handler.handle_control(message, self.send)
 
     async def call(self, message: ForwardMessage) -> ReplyMessage:
-        reply: asyncio.Future[ReplyMessage] = asyncio.get_running_loop().create_future()
         self.last_used = time.monotonic()
-        if not self.send(message):
-            raise _unreachable(self.address, "the connection is closed")
-        self._pending_replies_by_call[message.call] = reply
         try:
+            if len(message.body) > SMALL_BODY_BYTES:
+                message = await self._send_body(message)
+            reply: asyncio.Future[ReplyMessage] = asyncio.get_running_loop().create_future()
+            if not self.send(message):
+                raise _unreachable(self.address, "the connection is closed")
+            self._pending_replies_by_call[message.call] = reply
             return await reply
         except asyncio.CancelledError:
             self.send(CancelMessage(message.call))
+            self.transfers.cancel(message.call)
             raise
         finally:
             self._pending_replies_by_call.pop(message.call, None)
 
+    async def _send_body(self, message: ForwardMessage) -> ForwardMessage:
+        """Send a large body ahead of its request, and return the request without it."""
+        began = time.monotonic()
+        try:
+            is_sent = await self.transfers.send_body(
+                message.call, message.body, BODY_ACCEPT_SECONDS
+            )
+        except TimeoutError as error:
+            self.send(CancelMessage(message.call))
+            raise CallFailure(
+                Verdict.NOT_RUN, "body-memory", f"{self.address} has no memory for the body"
+            ) from error
+        if not is_sent:
+            raise _unreachable(self.address, "the connection is closed")
+        elapsed_ms = (time.monotonic() - began) * 1000
+        return replace(
+            message,
+            body=b"",
+            body_length=len(message.body),
+            remaining_ms=message.remaining_ms - elapsed_ms,
+        )
+
     def ping(self, digest: GossipDigest) -> None:
         """Send a ping; the pong timeout starts at the first unanswered ping."""
         if self.send(PingMessage(*digest)) and not self.pinged_at:
             self.pinged_at = time.monotonic()
 
     def connection_lost(self, error: Exception | None) -> None:
+        super().connection_lost(error)
         pending, self._pending_replies_by_call = self._pending_replies_by_call, {}
         for reply in pending.values():
             if not reply.done():
@@ -124,6 +166,8 @@
         Handles messages received from peers.
     generator : random.Random
         Selects the idle connection to ping and the receivers of gossip.
+    memory : BodyMemory, optional
+        Memory for the large bodies of replies.
 
     Notes
     -----
@@ -137,8 +181,15 @@
     from which it and the other members learn about each other.
     """
 
-    def __init__(self, own: Member, handler: PeerHandler, generator: random.Random) -> None:
+    def __init__(
+        self,
+        own: Member,
+        handler: PeerHandler,
+        generator: random.Random,
+        memory: BodyMemory | None = None,
+    ) -> None:
         self.own = own
+        self._memory = memory or BodyMemory(DEFAULT_BODY_MEMORY_BYTES)
         self._handler = handler
         self._random = generator
         self._call_ids = itertools.count(1)
@@ -265,7 +316,7 @@
         try:
             async with asyncio.timeout(CONNECT_TIMEOUT_SECONDS):
                 _, link = await loop.create_connection(
-                    lambda: _Link(address, self._handler), address.host, address.port
+                    lambda: _Link(address, self._handler, self._memory), address.host, address.port
                 )
         except (OSError, TimeoutError):
             self._record_failure(address)
--- a/apricotwalk/peering/_listener.py
+++ b/apricotwalk/peering/_listener.py
@@ -4,7 +4,9 @@
 from abc import ABC, abstractmethod
 from collections.abc import Callable
 
-from apricotwalk.core import Service
+from msgspec.structs import replace
+
+from apricotwalk.core import SMALL_BODY_BYTES, BodyMemory, Service
 from apricotwalk.peering._frames import FrameProtocol
 from apricotwalk.peering._messages import (
     CancelMessage,
@@ -22,6 +24,8 @@
 
 # All peers reconnect at the same time after a restart, while the event loop may be busy.
 BACKLOG_CONNECTION_COUNT = 1024
+# This default is for listeners that are used without a node.
+DEFAULT_BODY_MEMORY_BYTES = 64 * 1024 * 1024
 
 
 class PeerHandler(ABC):
@@ -48,7 +52,7 @@
 
 class _AcceptedConnection(FrameProtocol):
     def __init__(self, listener: "PeerListener", handler: PeerHandler) -> None:
-        super().__init__()
+        super().__init__(listener.memory)
         self._listener = listener
         self._handler = handler
         self._tasks_by_call: dict[int, asyncio.Task[None]] = {}
@@ -58,6 +62,7 @@
         self._listener.connections.add(self)
 
     def connection_lost(self, error: Exception | None) -> None:
+        super().connection_lost(error)
         self._listener.connections.discard(self)
         for task in self._tasks_by_call.values():
             task.cancel()
@@ -67,6 +72,7 @@
             task = asyncio.get_running_loop().create_task(self._answer(message))
             self._tasks_by_call[message.call] = task
         elif isinstance(message, CancelMessage):
+            self.transfers.cancel(message.call)
             running = self._tasks_by_call.get(message.call)
             if running is not None:
                 running.cancel()
@@ -79,7 +85,11 @@
     async def _answer(self, message: ForwardMessage) -> None:
         self._listener.calls_in_flight += 1
         try:
-            reply: ReplyMessage = await self._handler.handle_forward(message)
+            reply = await self._handler.handle_forward(message)
+            length = len(reply.body)
+            if length > SMALL_BODY_BYTES:
+                await self.transfers.send_body(message.call, reply.body)
+                reply = replace(reply, body=b"", body_length=length)
             self.send(reply)
         finally:
             self._listener.calls_in_flight -= 1
@@ -95,11 +105,16 @@
         Address to listen on.
     handler : PeerHandler
         Handles the messages of peers.
+    memory : BodyMemory, optional
+        Memory for the large bodies of requests.
     """
 
-    def __init__(self, address: Address, handler: PeerHandler) -> None:
+    def __init__(
+        self, address: Address, handler: PeerHandler, memory: BodyMemory | None = None
+    ) -> None:
         self._address = address
         self._handler = handler
+        self.memory = memory or BodyMemory(DEFAULT_BODY_MEMORY_BYTES)
         self._server: asyncio.Server | None = None
         self.connections: set[_AcceptedConnection] = set()
         self.calls_in_flight = 0
@@ -114,6 +129,12 @@
             backlog=BACKLOG_CONNECTION_COUNT,
         )
 
+    @property
+    def is_busy(self) -> bool:
+        """Whether a request is in progress or a peer may not have all of its reply."""
+        has_unsent = any(connection.unsent_bytes for connection in self.connections)
+        return self.calls_in_flight > 0 or has_unsent
+
     def send_go_away(self) -> None:
         """Ask every connected peer to send no new requests to this node."""
         for connection in self.connections:
--- a/apricotwalk/peering/_messages.py
+++ b/apricotwalk/peering/_messages.py
@@ -14,6 +14,9 @@
 from apricotwalk.membership import Member
 
 __all__ = [
+    "BodyAcceptMessage",
+    "BodyOfferMessage",
+    "BodyPartMessage",
     "CancelMessage",
     "ConfigurationMessage",
     "ConfigurationRequest",
@@ -133,7 +136,7 @@
     fields : bytes
         End-to-end header fields, each terminated by CR LF.
     body : bytes
-        Complete body.
+        Complete body; empty on the wire if it is large, because its parts precede the message.
     caller_service : str
         Service of the instance at which the request entered the mesh.
     suspects : list of Suspect
@@ -143,6 +146,8 @@
     is_counted : bool
         Whether another node of the service has counted the first attempt of this request, which
         earns a fraction of a retry only once.
+    body_length : int
+        Length in bytes of a body whose parts preceded this message, otherwise 0.
     """
 
     call: int
@@ -161,6 +166,7 @@
     suspects: list[Suspect] = []
     notice: ServerNotice | None = None
     is_counted: bool = False
+    body_length: Annotated[int, Meta(ge=0, le=MAX_COUNT)] = 0
 
 
 class ReplyMessage(Struct, frozen=True, array_like=True, tag=5):
@@ -179,7 +185,7 @@
     fields : bytes
         End-to-end header fields of the response, each terminated by CR LF.
     body : bytes
-        Complete body.
+        Complete body; empty on the wire if it is large, because its parts precede the message.
     load : float
         Work in flight and queued at the answering node, divided by its limit.
     reported_load : float
@@ -188,6 +194,8 @@
         Requests that the answering node suspects of crashing backend servers.
     notice : ServerNotice or None
         What the backend server currently announces, None if that is nothing or is not known.
+    body_length : int
+        Length in bytes of a body whose parts preceded this message, otherwise 0.
     """
 
     call: int
@@ -200,6 +208,7 @@
     reported_load: float = 0.0
     suspects: list[Suspect] = []
     notice: ServerNotice | None = None
+    body_length: Annotated[int, Meta(ge=0, le=MAX_COUNT)] = 0
 
 
 class CancelMessage(Struct, frozen=True, array_like=True, tag=6):
@@ -265,6 +274,48 @@
     suspects: list[Suspect]
 
 
+class BodyOfferMessage(Struct, frozen=True, array_like=True, tag=13):
+    """Announcement of the large body of a request or reply, which precedes that message.
+
+    Parameters
+    ----------
+    call : int
+        Identifier of the attempt to which the body belongs.
+    length : int
+        Number of bytes.
+    """
+
+    call: int
+    length: Annotated[int, Meta(ge=0, le=MAX_COUNT)]
+
+
+class BodyAcceptMessage(Struct, frozen=True, array_like=True, tag=14):
+    """Notice that the sender has the memory for an offered body.
+
+    Parameters
+    ----------
+    call : int
+        Identifier of the attempt to which the body belongs.
+    """
+
+    call: int
+
+
+class BodyPartMessage(Struct, frozen=True, array_like=True, tag=15):
+    """Next part of a body that the receiver has accepted.
+
+    Parameters
+    ----------
+    call : int
+        Identifier of the attempt to which the body belongs.
+    data : bytes
+        The part.
+    """
+
+    call: int
+    data: bytes
+
+
 PeerMessage = (
     GreetingMessage
     | PingMessage
@@ -278,6 +329,9 @@
     | ConfigurationMessage
     | GoAwayMessage
     | SuspectsMessage
+    | BodyOfferMessage
+    | BodyAcceptMessage
+    | BodyPartMessage
 )
 
 _encoder = msgspec.msgpack.Encoder()
--- a/apricotwalk/platform/_settings.py
+++ b/apricotwalk/platform/_settings.py
@@ -8,7 +8,7 @@
 from pathlib import Path
 from typing import TypeVar
 
-from apricotwalk.border import MeshBounds, MeshSettings
+from apricotwalk.border import DEFAULT_MEMORY_BYTES, MeshBounds, MeshSettings
 from apricotwalk.core import SettingsError
 from apricotwalk.platform._names import SETTINGS_DEFAULT_PATH, SETTINGS_VARIABLE
 from apricotwalk.platform._units import parse_seconds
@@ -18,6 +18,10 @@
 
 # The same port is set in deploy/system.toml.
 METRICS_PORT = 9464
+BYTES_PER_MEGABYTE = 1024 * 1024
+# A node without any request in progress uses about 30 MB.
+MIN_MEMORY_MEGABYTES = 64
+MAX_MEMORY_MEGABYTES = 1024 * 1024
 
 Value = TypeVar("Value")
 
@@ -95,6 +99,11 @@
         heartbeat_seconds=fields.parse("heartbeat-interval", parse_seconds),
         bounds=_parse_bounds(fields),
         is_first_start=fields.parse("bootstrap", _parse_flag) if "bootstrap" in fields else False,
+        memory_bytes=(
+            fields.parse("limits.memory-mb", _parse_megabytes)
+            if "limits.memory-mb" in fields
+            else DEFAULT_MEMORY_BYTES
+        ),
     )
 
 
@@ -115,6 +124,14 @@
     return value == "true"
 
 
+def _parse_megabytes(value: str) -> int:
+    """Return a positive number of megabytes in bytes."""
+    megabytes = float(value)
+    if not MIN_MEMORY_MEGABYTES <= megabytes <= MAX_MEMORY_MEGABYTES:
+        raise ValueError(f"expected {MIN_MEMORY_MEGABYTES} MB or more, got {value[:40]!r}")
+    return int(megabytes * BYTES_PER_MEGABYTE)
+
+
 def _parse_seed_peers(value: str, port: int) -> tuple[Address, ...]:
     """Return the peer addresses of the seeds, which the file lists by heartbeat address."""
     seeds = [Address.parse(seed) for seed in value.split(",") if seed]
--- a/apricotwalk_lab/soak/_callers.py
+++ b/apricotwalk_lab/soak/_callers.py
@@ -12,7 +12,7 @@
     ServerConnection,
     ServerConnectionLost,
     encode_field,
-    encode_request,
+    encode_request_head,
 )
 from apricotwalk_lab.soak._platform import CALLER_PORT, HEADER_FIELD_NAMES, HOST, sign_body
 from apricotwalk_lab.soak._records import CallerRequest, Records
@@ -114,10 +114,10 @@
         request_id = f"try-{next(self._request_numbers):06d}"
         entry = CallerRequest(request_id, path, node, self._clock())
         self._records.tries.append(entry)
-        request = _encode(path, request_id)
+        head, body = _encode(path, request_id)
         try:
             async with asyncio.timeout(DEADLINE_MS / 1000 + ANSWER_MARGIN_SECONDS):
-                answer = await connection.send(request, request_id, False)
+                answer = await connection.send(head, body, request_id, False)
             self._record_answer(entry, answer)
         except (ServerConnectionLost, TimeoutError) as error:
             entry.detail = repr(error)
@@ -131,13 +131,15 @@
         signature = answer.values_by_name.get(SIGNATURE_FIELD, "")
         server, _, expected = signature.partition(".")
         entry.is_answer_intact = bool(expected) and expected == sign_body(
-            server, entry.request_id, answer.body
+            server, entry.request_id, bytes(answer.body)
         )
 
 
-def _encode(path: str, request_id: str) -> bytes:
+def _encode(path: str, request_id: str) -> tuple[bytes, bytes]:
+    """Return the head and the body of a request."""
     is_post = path == "dispatch"
     fields = encode_field("Host", HOST) + encode_field(HEADER_FIELD_NAMES.request_id, request_id)
     fields += encode_field(HEADER_FIELD_NAMES.deadline_ms, str(DEADLINE_MS))
     body = b"lunch" if is_post else b""
-    return encode_request("POST" if is_post else "GET", f"/{path}/1", fields, body)
+    method = "POST" if is_post else "GET"
+    return encode_request_head(method, f"/{path}/1", fields, len(body)), body
--- a/tests/test_endless_answers.py
+++ b/tests/test_endless_answers.py
@@ -4,15 +4,15 @@
 
 import pytest
 
-from apricotwalk.core import CallFailure, Verdict
+from apricotwalk.core import BodyMemory, CallFailure, CountedBody, Verdict
 from apricotwalk.forwarding import BackendPool
-from apricotwalk.http1 import AnswerMemory
 from tests.mesh_fakes import FakeResponse, free_address
 from tests.mesh_harness import running_mesh
 
-MEMORY_BYTES = 4 * 1024 * 1024
+MEBIBYTE = 1024 * 1024
+MEMORY_BYTES = 4 * MEBIBYTE
 # Bytes that the sockets of both sides may hold after the connection is closed.
-SOCKET_BYTES = 16 * 1024 * 1024
+SOCKET_BYTES = 16 * MEBIBYTE
 HEAD = b"HTTP/1.1 200 OK\r\nId: q-1\r\nSeal: x\r\n"
 CHUNKED = HEAD + b"Transfer-Encoding: chunked\r\n\r\n"
 
@@ -75,7 +75,7 @@
 def test_endless_answer_is_cut_off_with_bounded_memory(run, kind):
     async def body():
         server = await EndlessServer(*ENDLESS_ANSWERS[kind]).open()
-        pool = BackendPool(server.address, "Id", ("Seal",), AnswerMemory(MEMORY_BYTES))
+        pool = BackendPool(server.address, "Id", ("Seal",), BodyMemory(MEMORY_BYTES))
         with pytest.raises(CallFailure) as caught:
             async with asyncio.timeout(20.0):
                 await pool.send("GET", "/x", b"Host: mesh\r\n", b"", "q-1", False)
@@ -90,22 +90,26 @@
 
 
 def test_endless_answers_leave_memory_for_others():
+    """The largest body of unknown length makes room for the others, and only that one."""
+    memory = BodyMemory(4 * MEBIBYTE)
+    bodies = {"first": CountedBody(memory), "second": CountedBody(memory)}
     dropped = []
-    memory = AnswerMemory(100)
 
-    def drop_first():
-        dropped.append("first")
+    def drop(name):
+        dropped.append(name)
+        bodies.pop(name, None)
 
-    def drop_second():
-        dropped.append("second")
-
-    memory.add(drop_first, 90)
-    memory.add(drop_second, 20)
+    for name, body in bodies.items():
+        memory.add_growing(body, lambda name=name: drop(name))
+    del body
+    assert memory.grow(bodies["first"], 3 * MEBIBYTE)
+    assert memory.grow(bodies["second"], 2 * MEBIBYTE)
     assert dropped == ["first"]
-    memory.add(drop_second, 70)
-    memory.release(drop_second)
-    memory.add(drop_first, 100)
+    assert memory.grow(bodies["second"], 4 * MEBIBYTE)
     assert dropped == ["first"]
+    assert not memory.grow(bodies["second"], 5 * MEBIBYTE)
+    assert dropped == ["first", "second"]
+    assert memory.used_bytes == 0
 
 
 def test_caller_gets_a_truthful_status_in_time_while_a_server_never_ends_its_answer(run):
