Let an acknowledged departure bind the next process of a node

Change: the member record carries the latest departure, peers keep it when the node greets them without one, and a node that starts defers reports until its record has been read from the store or a peer, at most 2 s.

--- a/apricotwalk/core/__init__.py
+++ b/apricotwalk/core/__init__.py
@@ -3,6 +3,7 @@
 from apricotwalk.core._body_memory import SMALL_BODY_BYTES, BodyMemory, CountedBody
 from apricotwalk.core._clock import Clock, ManualClock, SystemClock
 from apricotwalk.core._decoding import MAX_COUNT, decode_payload, parse_count
+from apricotwalk.core._departure import Departure
 from apricotwalk.core._errors import (
     ApricotwalkError,
     CallFailure,
@@ -30,6 +31,7 @@
     "CallFailure",
     "Clock",
     "CountedBody",
+    "Departure",
     "Execution",
     "LogServiceError",
     "ManualClock",
--- a/apricotwalk/fleet/_members.py
+++ b/apricotwalk/fleet/_members.py
@@ -9,7 +9,7 @@
 from xxhash import xxh3_64_intdigest
 
 from apricotwalk.border import KeyedRecord, KeyedStream, StoreError
-from apricotwalk.core import Clock, Service, Supervisor, WireError, decode_payload
+from apricotwalk.core import Clock, Departure, Service, Supervisor, WireError, decode_payload
 from apricotwalk.fleet._follower import RecordConsumer
 from apricotwalk.fleet._store_backoff import StoreBackoff
 from apricotwalk.fleet._store_era import StoreEra
@@ -51,6 +51,9 @@
     the one with the larger incarnation wins.  An incarnation is the wall-clock time of the change
     in microseconds.  A node that receives a record of its own with a larger incarnation, written
     before its clock was set back, continues from that incarnation and writes its record again.
+
+    The record also states which backend server is leaving, so that what one process of a node has
+    acknowledged binds the next one, see `on_own_history`.
     """
 
     def __init__(
@@ -76,6 +79,7 @@
         self._needs_write = asyncio.Event()
         self._supervisor = Supervisor("fleet members")
         self.on_first_write: Callable[[], None] = lambda: None
+        self.on_own_history: Callable[[Member | None], None] = lambda record: None
         self._has_written = False
         self.count_write: Callable[[], None] = lambda: None
         self.on_own_change: Callable[[Member], None] = lambda member: None
@@ -117,6 +121,13 @@
             return
         self._update_own(state, reason)
 
+    def announce_departure(self, departure: Departure) -> None:
+        """Publish that the backend server is leaving, for other nodes and the next process."""
+        if self.own.departure == departure:
+            return
+        self.own = replace(self.own, departure=departure)
+        self._update_own(MemberState.LEAVING, "the backend server leaves")
+
     def handle_restoration(self) -> None:
         """Write the record of this node again, because a restored store may have lost it.
 
@@ -152,6 +163,7 @@
         own = self._members_by_instance.get(self.own.instance)
         if own is not None and self.own.instance not in {record.key for record in records}:
             self._needs_write.set()
+        self.on_own_history(None)
         return had_updates
 
     def apply(self, member: Member, source: str) -> bool:
@@ -170,6 +182,9 @@
         previous = self._members_by_instance.get(member.instance)
         if previous is not None and not member.supersedes(previous):
             return False
+        if previous is not None and member.departure is None:
+            # A node that has just started does not know yet what its last process acknowledged.
+            member = replace(member, departure=previous.departure)
         self._update_tables(member, previous)
         self._log.record_state_change(
             "member-changed",
@@ -206,6 +221,9 @@
         An earlier process of this node may have used a larger incarnation.  An append whose answer
         was lost may be stored seconds later, after a newer record.
         """
+        self.on_own_history(received)
+        if received.departure is not None and self.own.departure is None:
+            self.own = replace(self.own, departure=received.departure)
         if received == self.own:
             self._was_read_back = True
         elif self._was_read_back and self.own.supersedes(received):
--- a/apricotwalk/forwarding/_backend_registry.py
+++ b/apricotwalk/forwarding/_backend_registry.py
@@ -6,7 +6,7 @@
 from dataclasses import dataclass
 
 from apricotwalk.border import Heartbeat, HeartbeatCall, MeshSettings
-from apricotwalk.core import Clock, ServerNotice
+from apricotwalk.core import Clock, Departure, ServerNotice
 from apricotwalk.forwarding._announcements import ServerAnnouncement
 from apricotwalk.telemetry import DecisionLog
 
@@ -43,17 +43,6 @@
         return started_ms == self.started_ms or 0 in (started_ms, self.started_ms)
 
 
-@dataclass(frozen=True, slots=True)
-class _Departure:
-    """Starts of a server that are leaving or gone: all of them up to a time of start."""
-
-    server: str
-    last_started_ms: int
-
-    def includes(self, heartbeat: Heartbeat) -> bool:
-        return heartbeat.server == self.server and heartbeat.started_ms <= self.last_started_ms
-
-
 class BackendRegistry:
     """Decides from heartbeats which incarnation of the backend server may receive work.
 
@@ -71,17 +60,20 @@
     An incarnation that started later replaces an earlier one, and within an incarnation the
     heartbeat with the larger sequence number wins, so a heartbeat delayed by a partition changes
     nothing.  A node that has just started knows no server until a heartbeat or a health check
-    reports one, so what an earlier node process acknowledged, such as a departure, remains in
-    effect.  The limit that the server announced reaches such a node with the first request of
-    each node that knows it.
+    reports one.  It defers these until `settle` is called, because an earlier process may have
+    acknowledged that the server is leaving, and a report of the time before that can be late.  The
+    limit that the server announced reaches such a node with the first request of each node that
+    knows it.
     """
 
-    def __init__(self, settings: MeshSettings, log: DecisionLog, clock: Clock) -> None:
+    def __init__(
+        self, settings: MeshSettings, log: DecisionLog, clock: Clock, is_settled: bool = True
+    ) -> None:
         self.settings = settings
         self._log = log
         self._clock = clock
         self._newest_heartbeat: Heartbeat | None = None
-        self._departed: deque[_Departure] = deque(maxlen=DEPARTED_HISTORY_COUNT)
+        self._departed: deque[Departure] = deque(maxlen=DEPARTED_HISTORY_COUNT)
         self.current: KnownServer | None = None
         self.is_leaving = False
         self.leaving_since = 0.0
@@ -89,7 +81,11 @@
         self._has_answered = False
         self.announced_rate: float | None = None
         self._is_rate_readable = True
+        self._is_settled = is_settled
+        self._deferred_heartbeat: Heartbeat | None = None
+        self._deferred_probe: tuple[str, int] | None = None
         self.on_change: Callable[[], None] = lambda: None
+        self.on_departure: Callable[[Departure], None] = lambda departure: None
         self.server_known = asyncio.Event()
 
     def handle_call(self, call: HeartbeatCall) -> None:
@@ -101,6 +97,11 @@
 
     def register_probed(self, server: str, slots: int) -> None:
         """Register a server that a health check found ready before its first heartbeat."""
+        if not self._is_settled:
+            self._deferred_probe = (server, slots)
+            return
+        if self._departed and self._departed[-1].server == server:
+            return  # a health check does not tell whether it is a later start of this server
         if self._newest_heartbeat is None and self.current is None and not self.is_leaving:
             self._set_current(KnownServer(server, slots), "health check")
 
@@ -150,6 +151,27 @@
         if not self._has_answered:
             self._set_announced_rate(notice.requests_per_second)
 
+    def restore_departure(self, departure: Departure) -> None:
+        """Apply a departure that an earlier process of this node has acknowledged."""
+        if departure in self._departed:
+            return
+        self._departed.append(departure)
+        current, newest = self.current, self._newest_heartbeat
+        sequence = newest.sequence if newest is not None else 0
+        if current is not None and departure.includes(current.server, current.started_ms, sequence):
+            self._start_leaving("acknowledged by an earlier process")
+
+    def settle(self, reason: str) -> None:
+        """Apply what was deferred until the departures acknowledged earlier were known."""
+        if self._is_settled:
+            return
+        self._is_settled = True
+        self._log.record_state_change("server-history-known", reason=reason)
+        if self._deferred_heartbeat is not None:
+            self._handle_heartbeat(self._deferred_heartbeat)
+        elif self._deferred_probe is not None:
+            self.register_probed(*self._deferred_probe)
+
     def mark_lost(self, reason: str) -> None:
         """Mark the server as lost until a newer heartbeat or a health check reports it."""
         if self.current is None:
@@ -162,14 +184,26 @@
     def _handle_heartbeat(self, heartbeat: Heartbeat) -> None:
         if not self._matches_settings(heartbeat) or self._is_stale(heartbeat):
             return
+        if not self._is_settled and not heartbeat.is_leaving:
+            self._defer(heartbeat)
+            return
         self._newest_heartbeat = heartbeat
         if heartbeat.is_leaving:
+            self.on_departure(Departure(heartbeat.server, heartbeat.started_ms, heartbeat.sequence))
             self._start_leaving("draining")
             return
         known = KnownServer(heartbeat.server, heartbeat.slots, heartbeat.started_ms)
         if known != self.current or self.is_leaving:
             self._set_current(known, "heartbeat")
 
+    def _defer(self, heartbeat: Heartbeat) -> None:
+        deferred = self._deferred_heartbeat
+        if deferred is None or (heartbeat.started_ms, heartbeat.sequence) > (
+            deferred.started_ms,
+            deferred.sequence,
+        ):
+            self._deferred_heartbeat = heartbeat
+
     def _matches_settings(self, heartbeat: Heartbeat) -> bool:
         if (
             heartbeat.service == self.settings.service
@@ -186,7 +220,8 @@
         return False
 
     def _is_stale(self, heartbeat: Heartbeat) -> bool:
-        if any(departure.includes(heartbeat) for departure in self._departed):
+        report = (heartbeat.server, heartbeat.started_ms, heartbeat.sequence)
+        if any(departure.includes(*report) for departure in self._departed):
             return True
         newest = self._newest_heartbeat
         if newest is None:
@@ -205,13 +240,16 @@
             return
         if not started_ms and newest is not None:
             started_ms = newest.started_ms
+        # Without a stated start, every start up to now is meant.
+        started_ms = started_ms or int(self._clock.wall() * MILLISECONDS_PER_SECOND)
         self._depart(server, started_ms, "departed")
 
     def _depart(self, server: str, started_ms: int, reason: str) -> None:
         """Mark a server as leaving, whatever later heartbeats of this start of it state."""
-        departure = _Departure(server, started_ms)
+        departure = Departure(server, started_ms)
         if departure not in self._departed:
             self._departed.append(departure)
+        self.on_departure(departure)
         self._start_leaving(reason)
 
     def _start_leaving(self, reason: str) -> None:
--- a/apricotwalk/membership/_member.py
+++ b/apricotwalk/membership/_member.py
@@ -5,6 +5,7 @@
 
 from msgspec import Meta, Struct
 
+from apricotwalk.core import Departure
 from apricotwalk.settings import Address
 
 __all__ = ["Member", "MemberState"]
@@ -41,6 +42,8 @@
         leave and each refuted suspicion.
     state : MemberState
         State of the member.
+    departure : Departure or None
+        Latest departure of a backend server that the node has acknowledged.
     """
 
     instance: str
@@ -50,6 +53,7 @@
     address: Address
     incarnation: Annotated[int, Meta(ge=0, le=MAX_INCARNATION)]
     state: MemberState = MemberState.ALIVE
+    departure: Departure | None = None
 
     def supersedes(self, other: "Member") -> bool:
         """Return whether this record is newer than `other` of the same instance."""
--- a/apricotwalk/meshnode/_node.py
+++ b/apricotwalk/meshnode/_node.py
@@ -105,6 +105,9 @@
 # A node without large bodies uses less than this, with all of its connections and small bodies.
 BASE_MEMORY_BYTES = 60 * 1024 * 1024
 MIN_BODY_MEMORY_BYTES = 1024 * 1024
+# A node that restarts finds the store or a peer within this time if it can reach any of them: peers
+# dial it again after 2 s at most.
+HISTORY_WAIT_SECONDS = 2.0
 # Seeds start within 0.3 s of this node and answer after half a second.
 SEED_RETRY_SECONDS = 1.0
 
@@ -147,7 +150,9 @@
         )
         self.uploads, self.downloads = self._build_body_memories()
         self.links = PeerLinks(self.members.own, self._peer_handler, self._random, self.downloads)
-        self.registry = BackendRegistry(settings, self.log, self._clock)
+        self.registry = BackendRegistry(
+            settings, self.log, self._clock, is_settled=settings.is_first_start
+        )
         self.admission = RankQueueController(self._clock, UNUSED_MECHANISMS, limit=AnnouncedLimit())
         self.allowance = RetryAllowance(
             settings.bounds.retry_ratio,
@@ -201,6 +206,8 @@
         """Register the callbacks and start every service and background loop."""
         self.registry.on_change = self._handle_server_change
         self.members.count_write = lambda: self.metrics.count_store_call("members", "write")
+        self.members.on_own_history = self._apply_own_history
+        self.registry.on_departure = self.members.announce_departure
         self.members.on_own_change = self._broadcast_own_record
         self.members.on_member_change = self._gossip_change
         self.configuration.on_change = self._apply_configuration
@@ -208,6 +215,7 @@
         self.store_era.on_restoration = self.members.handle_restoration
         await self._supervisor.start()
         self._supervisor.run_loop("probe", self._probe_backend)
+        self._supervisor.run_loop("history", self._limit_wait_for_history)
         self._supervisor.run_loop("settings", self._watch_settings)
         self._supervisor.run_loop("peers", self._maintain_connections)
         if self.settings.seeds:
@@ -443,6 +451,17 @@
         else:
             self.members.announce(MemberState.ALIVE, "the backend server is ready")
 
+    def _apply_own_history(self, record: Member | None) -> None:
+        """Apply what an earlier process of this node has published, or None if it has not."""
+        if record is not None and record.departure is not None:
+            self.registry.restore_departure(record.departure)
+        self.registry.settle("directory" if record is None else "record of this node")
+
+    async def _limit_wait_for_history(self) -> None:
+        """Let the backend server receive work if neither the store nor a peer answers."""
+        await asyncio.sleep(HISTORY_WAIT_SECONDS)
+        self.registry.settle("time-out")
+
     def _publish_suspects(self, service: str, suspects: list[Suspect]) -> None:
         """Send the suspects to the other nodes of the service, which then reject such requests."""
         self.log.record_state_change("server-crashed", service=service, suspects=len(suspects))
--- a/tests/mesh_harness.py
+++ b/tests/mesh_harness.py
@@ -18,6 +18,8 @@
 DISPATCH = new_route("dispatch", "dispatch-svc", Execution.AT_MOST_ONCE)
 
 
+# A test that hangs shows less than one that fails.
+CONVERGENCE_SECONDS = 30.0
 FIRST_VERSION = new_configuration(1, MENU, DISPATCH)
 
 
@@ -51,8 +53,9 @@
 
     async def wait_until_converged(self, count):
         """Wait until every node has a configuration and lists `count` alive members."""
-        while not all(self._has_converged(node, count) for node in self.nodes.values()):
-            await asyncio.sleep(0.01)
+        async with asyncio.timeout(CONVERGENCE_SECONDS):
+            while not all(self._has_converged(node, count) for node in self.nodes.values()):
+                await asyncio.sleep(0.01)
 
     async def caller(self, instance):
         return await FakeCaller(self.nodes[instance].settings.callers).open()
