Let a node that becomes a long poller while its copy is fresh start to long-poll

Cause: a node chose its kind of read before it paused, and its pause lasted for as long as other nodes kept its copy fresh. Change: the choice is made again after each pause, and long polls end in turn.

--- a/apricotwalk/daemon/mesh.py
+++ b/apricotwalk/daemon/mesh.py
@@ -26,6 +26,8 @@
     parser = argparse.ArgumentParser(prog="apricotwalk-mesh", description=__doc__)
     parser.add_argument("--check", action="store_true", help="validate the settings and exit")
     arguments = parser.parse_args()
+    # Until the node runs, there is nothing to reload, and the default would end the process.
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)
     try:
         platform = open_platform()
     except SettingsError as error:
--- a/apricotwalk/fleet/_follower.py
+++ b/apricotwalk/fleet/_follower.py
@@ -133,8 +133,7 @@
             self._store_era.observe(page.era, "store")
             self._had_updates = self._consumer.apply_snapshot(page.records)
         else:
-            read = self._schedule.next_read(self._had_records, self._had_updates)
-            await self._pause(read)
+            read = await self._wait_for_next_read()
             self._count_call("read")
             page = await self._stream.read(self._offset, read.wait_seconds)
             self._store_era.observe(page.era, "store")
@@ -148,16 +147,27 @@
         self._freshness.observe(0.0)
         self.on_answer()
 
-    async def _pause(self, read: NextRead) -> None:
-        """Wait until a read is due: a poll only after the copy has become stale."""
+    async def _wait_for_next_read(self) -> NextRead:
+        """Wait until a read is due, which for a poll is after the copy has become stale.
+
+        Notes
+        -----
+        A copy can stay fresh for as long as other nodes read, so a node that has become one of
+        those that long-poll meanwhile does not wait any longer.
+        """
+        read = self._schedule.next_read(self._had_records, self._had_updates)
         seconds = read.pause_seconds
         while not self._read_requested.is_set():
             await self._wait_for_request(seconds)
             fresh_seconds = self._freshness.remaining_seconds
             if read.wait_seconds or not fresh_seconds:
                 break
+            if self._schedule.is_long_poller():
+                read = self._schedule.next_read(False, False)
+                break
             seconds = fresh_seconds + self._schedule.stale_delay()
         self._read_requested.clear()
+        return read
 
     async def _wait_for_request(self, max_seconds: float) -> None:
         with suppress(TimeoutError):
--- a/apricotwalk/fleet/_reading_schedule.py
+++ b/apricotwalk/fleet/_reading_schedule.py
@@ -68,6 +68,9 @@
     too slow.  A node that is not yet listed among the members does not long-poll: while a fleet
     starts, every node knows too few members to tell whether it is one of those nodes.
 
+    A record ends the long polls of all nodes at once.  The next ones end in turn, so that the
+    answers, which show the other nodes that their copies are complete, are spread evenly.
+
     References
     ----------
     .. [1] D. Thaler and C. Ravishankar, "Using Name-Based Mappings to Increase Hit Rates",
@@ -91,10 +94,11 @@
         self._poll_gap_seconds = poll_gap_seconds
         self._random = generator
         self._poll_seconds = INITIAL_POLL_SECONDS
+        self._was_long_poller = False
 
     def is_long_poller(self) -> bool:
         """Return whether this node is one of those that long-poll the store."""
-        return self._is_long_poller_among(self._live_members())
+        return self._position_among(self._live_members()) < self._long_poller_count
 
     def next_read(self, had_records: bool, had_updates: bool) -> NextRead:
         """Return when the next read starts and how long it waits for a record.
@@ -112,9 +116,15 @@
             Pause and wait of the next read; a wait of 0 returns immediately.
         """
         members = self._live_members()
-        if self._is_long_poller_among(members):
+        position = self._position_among(members)
+        is_first_long_poll = not self._was_long_poller
+        self._was_long_poller = position < self._long_poller_count
+        if self._was_long_poller:
             self._poll_seconds = INITIAL_POLL_SECONDS
-            return NextRead(BATCH_PAUSE_SECONDS if had_records else 0.0, self._wait_seconds)
+            wait_seconds = self._wait_seconds
+            if had_records or is_first_long_poll:
+                wait_seconds *= (position + 1) / self._long_poller_count
+            return NextRead(BATCH_PAUSE_SECONDS if had_records else 0.0, wait_seconds)
         max_poll_seconds = max(INITIAL_POLL_SECONDS, self._poll_gap_seconds * len(members))
         next_poll_seconds = (
             INITIAL_POLL_SECONDS if had_updates else self._poll_seconds * POLL_GROWTH
@@ -134,11 +144,11 @@
         """
         return self._random.uniform(0.0, self._poll_seconds)
 
-    def _is_long_poller_among(self, members: list[Member]) -> bool:
+    def _position_among(self, members: list[Member]) -> int:
+        """Return the position of this node by hash, behind all others if it is not listed."""
         if all(member.instance != self._own for member in members):
-            return False
-        lower_hash_count = sum(_hash(member.instance) < self._own_hash for member in members)
-        return lower_hash_count < self._long_poller_count
+            return max(len(members), self._long_poller_count)
+        return sum(_hash(member.instance) < self._own_hash for member in members)
 
 
 def _hash(instance: str) -> int:
--- a/tests/test_store_freshness.py
+++ b/tests/test_store_freshness.py
@@ -111,6 +111,37 @@
     run(body())
 
 
+def test_node_that_becomes_a_long_poller_while_its_copy_is_fresh_starts_to_long_poll(run):
+    """Its peers keep the copy fresh, so it would otherwise never read again."""
+
+    async def body():
+        clock, calls, members = ManualClock(), [], []
+        log = new_discarding_log()
+        schedule = ReadingSchedule("own", lambda: members, 0.2, 0.2, random.Random(1), 3)
+        holder = new_holder(new_configuration(1, new_route("menu", "menu-svc")))
+        follower = StreamFollower(
+            "c",
+            FakeStream(),
+            holder,
+            log,
+            random.Random(1),
+            schedule,
+            StoreEra(log),
+            Freshness(clock, 1.0),
+            0.0,
+            calls.append,
+        )
+        await follower.start()
+        await asyncio.sleep(0.05)
+        members += [new_member("own"), new_member("a")]
+        async with asyncio.timeout(5.0):
+            while len(calls) < 4:
+                await asyncio.sleep(0.01)
+        await follower.close()
+
+    run(body())
+
+
 def test_settled_fleet_reads_the_store_with_a_few_nodes_only(run):
     """A node that is told of the age of its copy by its peers makes no calls of its own."""
 
