--- a/apricotwalk_lab/soak/_checks.py
+++ b/apricotwalk_lab/soak/_checks.py
@@ -232,7 +232,8 @@
 
 def _check_cut(request: CallerRequest, records: Records) -> Iterator[str]:
     was_executed = bool(records.executions_by_request.get(request.request_id))
-    is_late = request.ended - request.sent > LATE_CUT_SECONDS
+    # A request behind the last answer of a connection counts as unread, however long it waited.
+    is_late = request.ended - request.sent > LATE_CUT_SECONDS and not request.is_pipelined
     if not request.status and (was_executed or is_late):
         yield f"cut at a planned stop: {_describe(request, records)}"
     if request.status in NODE_FAILURE_STATUSES and was_executed:
--- a/apricotwalk_lab/soak/_faults.py
+++ b/apricotwalk_lab/soak/_faults.py
@@ -165,6 +165,8 @@
                 instance.server.cuts_heads = is_active
             case FaultKind.REFUSALS_REPEATED:
                 instance.server.repeats_refusals = is_active
+            case FaultKind.ANSWERS_ENDLESS:
+                instance.server.sends_endless_answers = is_active
             case FaultKind.SERVER_LINK_SILENT:
                 if is_active:
                     instance.server_link.blackhole_connections()
--- a/apricotwalk_lab/soak/_fleet.py
+++ b/apricotwalk_lab/soak/_fleet.py
@@ -11,6 +11,7 @@
 from apricotwalk.core import Service
 from apricotwalk_lab.soak._platform import (
     BACKEND_PORT,
+    MEMORY_MEGABYTES,
     SETTINGS_VARIABLE,
     STOP_SECONDS,
     STORE_PORT,
@@ -26,6 +27,8 @@
 SERVER_PORT = 8401
 # As on the platform, a node process that has ended is restarted after a short pause.
 RESTART_SECONDS = 0.4
+MEMORY_CHECK_SECONDS = 0.2
+BYTES_PER_MEGABYTE = 1024 * 1024
 
 
 class NodeInstance(Service):
@@ -70,6 +73,7 @@
         self.store_link = Link((host, STORE_PORT), store, [], generator)
         self._process: asyncio.subprocess.Process | None = None
         self._supervisor: asyncio.Task[None] | None = None
+        self._memory_guard: asyncio.Task[None] | None = None
         self.started_at: list[float] = []
         self.unexpected_exits: list[str] = []
         self._is_exit_expected = False
@@ -80,12 +84,14 @@
         await self.store_link.start()
         await self.server.start()
         self._supervisor = asyncio.create_task(self._supervise())
+        self._memory_guard = asyncio.create_task(self._guard_memory())
 
     async def close(self) -> None:
         """Stop the node process, the server and the links."""
-        if self._supervisor is not None:
-            self._supervisor.cancel()
-            await asyncio.gather(self._supervisor, return_exceptions=True)
+        tasks = [task for task in (self._supervisor, self._memory_guard) if task is not None]
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
         self.send(signal.SIGKILL)
         if self._process is not None:
             await self._process.wait()
@@ -115,6 +121,28 @@
             if process is self._process:
                 self.send(signal.SIGKILL)
 
+    async def _guard_memory(self) -> None:
+        """Kill the node when it exceeds its memory, as the platform does."""
+        while True:
+            await asyncio.sleep(MEMORY_CHECK_SECONDS)
+            megabytes = self._resident_megabytes()
+            if megabytes > MEMORY_MEGABYTES:
+                self.unexpected_exits.append(
+                    f"{self.name} used {megabytes:.0f} MB of memory at {self._clock():.1f} s"
+                )
+                self.send(signal.SIGKILL)
+
+    def _resident_megabytes(self) -> float:
+        """Return the resident memory of the node process in megabytes, 0 if it does not run."""
+        process = self._process
+        if process is None or process.returncode is not None:
+            return 0.0
+        try:
+            pages = int(Path(f"/proc/{process.pid}/statm").read_text().split()[1])
+        except (OSError, IndexError):
+            return 0.0  # the process ends at this moment
+        return pages * os.sysconf("SC_PAGE_SIZE") / BYTES_PER_MEGABYTE
+
     async def _supervise(self) -> None:
         while True:
             await self._run_once()
--- a/apricotwalk_lab/soak/_plan.py
+++ b/apricotwalk_lab/soak/_plan.py
@@ -45,6 +45,7 @@
     REFUSALS_REPEATED = "refusals-repeated"
     ODD_ENTRIES = "odd-entries"
     NODES_KILLED_IN_TURN = "nodes-killed-in-turn"
+    ANSWERS_ENDLESS = "answers-endless"
 
 
 # Each group has a random generator of its own, so that each seed still draws its other faults.
@@ -56,6 +57,7 @@
         FaultKind.ODD_ENTRIES,
         FaultKind.NODES_KILLED_IN_TURN,
     ),
+    "endless": (FaultKind.ANSWERS_ENDLESS,),
 }
 MAX_SEPARATE_DRAW_COUNT = 3
 # A limit is judged in windows of 4 s that begin 3 s after it was announced.
--- a/apricotwalk_lab/soak/_platform.py
+++ b/apricotwalk_lab/soak/_platform.py
@@ -23,6 +23,8 @@
     "HEARTBEAT_PORT",
     "HEARTBEAT_PREFIX",
     "HOST",
+    "MEMORY_MEGABYTES",
+    "LARGE_PATH",
     "MEMBERS_TOPIC",
     "OPERATOR_TOPIC",
     "STORE_ERA_FIELD",
@@ -36,6 +38,8 @@
 
 HOST = "mesh.example"
 HEALTH_PATH = "/health"
+# Requests for this path get a large answer.
+LARGE_PATH = "menu/large"
 BACKEND_PORT = 8301
 CALLER_PORT = 8304
 HEARTBEAT_PORT = 8306
@@ -49,6 +53,7 @@
 RETRY_ALLOWANCE = 49
 RETRY_WINDOW_SECONDS = 10.0
 STOP_SECONDS = 6.0
+MEMORY_MEGABYTES = 200
 
 
 def settings_text(name: str, host: str, service: str, zone: str) -> str:
@@ -73,6 +78,7 @@
         "bounds.budget-slack": RETRY_ALLOWANCE,
         "app-addr": f"{host}:{BACKEND_PORT}",
         "service": service,
+        "limits.memory-mb": MEMORY_MEGABYTES,
         "platform.address": f"{host}:{STORE_PORT}",
     }
     return "".join(f"{key}={value}\n" for key, value in fields.items())
--- a/apricotwalk_lab/soak/_records.py
+++ b/apricotwalk_lab/soak/_records.py
@@ -30,6 +30,8 @@
         Whether a successful answer carried the valid signature for this request.
     detail : str
         Error that ended the connection, if any.
+    is_pipelined : bool
+        Whether it was sent behind a request that had not been answered.
     """
 
     request_id: str
@@ -40,6 +42,7 @@
     status: int = 0
     is_answer_intact: bool = True
     detail: str = ""
+    is_pipelined: bool = False
 
     @property
     def is_served(self) -> bool:
--- a/apricotwalk_lab/soak/_run.py
+++ b/apricotwalk_lab/soak/_run.py
@@ -9,6 +9,7 @@
 from apricotwalk_lab.processes import loopback_host
 from apricotwalk_lab.soak._callers import Callers
 from apricotwalk_lab.soak._checks import check
+from apricotwalk_lab.soak._demanding_callers import DemandingCallers
 from apricotwalk_lab.soak._faults import FaultInjector
 from apricotwalk_lab.soak._fleet import NodeInstance
 from apricotwalk_lab.soak._plan import RECOVERY_SECONDS, SoakPlan
@@ -91,6 +92,9 @@
             self._clock,
             generator,
         )
+        self._demanding_callers = DemandingCallers(
+            hosts, self._records, self._clock, random.Random(plan.seed + 2)
+        )
         self._faults = FaultInjector(
             self._instances,
             self._store,
@@ -109,6 +113,7 @@
 
     async def close(self) -> None:
         """Stop the callers, the instances and the store."""
+        await self._demanding_callers.close()
         await self._callers.close()
         for instance in self._instances:
             await instance.close()
@@ -119,6 +124,7 @@
         await self._callers.start()
         await self._wait_for_service(START_TIMEOUT_SECONDS)
         self._reset_measurement()
+        await self._demanding_callers.start()
         async with asyncio.TaskGroup() as group:
             for fault in self._plan.faults:
                 group.create_task(self._faults.inject(fault))
@@ -126,6 +132,7 @@
         has_recovered = await self._wait_for_service(RECOVERY_SECONDS)
         recovery = self._clock() - faults_ended_at
         await self._callers.close()
+        await self._demanding_callers.close()
         broken = check(
             self._plan, self._records, [instance.started_at for instance in self._instances]
         )
