Recognize a crash whose listener closes after its connections

Cause: a node asked once, right after an answer broke off, whether its server still listened. The time line kept for the scenario crash-request shows two of four crashes (menu-4, menu-2) that were taken for lost answers for that reason.

--- a/apricotwalk/quarantine/_crash_watch.py
+++ b/apricotwalk/quarantine/_crash_watch.py
@@ -10,6 +10,9 @@
 
 __all__ = ["CrashWatch"]
 
+# A server that crashes can lose its connections shortly before its listener.
+RECHECK_DELAYS_SECONDS = (0.02, 0.08)
+
 
 class _Backend(Protocol):
     async def is_listening(self) -> bool:
@@ -34,6 +37,9 @@
     Each request that is being executed during a crash may have caused it and becomes a suspect.
     From then on, suspects are executed one at a time.  If a suspect is being executed during a
     further crash, only the suspect is reported.
+
+    A request whose connection broke while the server still listened is reported as well if the
+    server stops listening within `RECHECK_DELAYS_SECONDS`.
     """
 
     def __init__(
@@ -49,6 +55,8 @@
         self._suspect_lock = asyncio.Lock()
         self._crash_check_lock = asyncio.Lock()
         self._crash_count = 0
+        self._broken_fingerprints: set[int] = set()
+        self._recheck: asyncio.Task[None] | None = None
 
     def suspect_slot(self, fingerprint: int, timeout_seconds: float) -> "_SuspectSlot":
         """Return a context that lets only one suspected request be executed at a time.
@@ -125,14 +133,36 @@
             if call_id not in self._fingerprints_by_call_id:
                 return True
             if await backend.is_listening():
+                self._recheck_later(self._fingerprints_by_call_id[call_id], service, backend)
                 return False
             self._notify_peers(service, self._report_running())
             return True
 
+    def _recheck_later(self, fingerprint: int, service: str, backend: _Backend) -> None:
+        self._broken_fingerprints.add(fingerprint)
+        if self._recheck is None or self._recheck.done():
+            loop = asyncio.get_running_loop()
+            self._recheck = loop.create_task(self._recheck_listener(service, backend))
+
+    async def _recheck_listener(self, service: str, backend: _Backend) -> None:
+        """Report a crash that shows only after the connections of the server have broken."""
+        try:
+            for delay_seconds in RECHECK_DELAYS_SECONDS:
+                await asyncio.sleep(delay_seconds)
+                async with self._crash_check_lock:
+                    if not self._broken_fingerprints:
+                        return  # reported with a crash that another request has shown
+                    if not await backend.is_listening():
+                        self._notify_peers(service, self._report_running())
+                        return
+        finally:
+            self._broken_fingerprints.clear()
+
     def _report_running(self) -> list[Suspect]:
         """Report the requests that may have caused a crash and return their entries."""
         self._crash_count += 1
-        running = set(self._fingerprints_by_call_id.values())
+        running = {*self._fingerprints_by_call_id.values(), *self._broken_fingerprints}
+        self._broken_fingerprints.clear()
         suspects = {suspect for suspect in running if self.registry.is_suspected(suspect)}
         reported = suspects or running
         for fingerprint in reported:
--- a/tests/test_quarantine.py
+++ b/tests/test_quarantine.py
@@ -103,6 +103,29 @@
     assert not watch.registry.is_suspected(CRASHING)
 
 
+def test_crash_is_reported_if_the_listener_closes_after_the_connection(run):
+    """Seen in the scenario crash-request: two of four crashes were taken for lost answers."""
+
+    async def body():
+        told = []
+        watch = CrashWatch(
+            "menu-1",
+            QuarantineRegistry(ManualClock()),
+            lambda service, suspects: told.extend(suspects),
+        )
+        backend = FakeBackend(is_alive=True)
+        failures = await crash_server(watch, CRASHING, backend=backend)
+        assert failures[0].cause == "answer-incomplete"
+        backend.is_alive = False
+        async with asyncio.timeout(1.0):
+            while not told:
+                await asyncio.sleep(0.005)
+        assert watch.registry.is_suspected(CRASHING)
+        assert [suspect.fingerprint for suspect in told] == [CRASHING]
+
+    run(body())
+
+
 def test_suspect_that_completes_is_cleared(run):
     async def body():
         watch = new_watch()
