--- a/apricotwalk/http1/_caller_connection.py
+++ b/apricotwalk/http1/_caller_connection.py
@@ -152,14 +152,14 @@
                 logger.bind(detail=str(error)).info("malformed-request")
                 self._reject(self._rejection_status or BAD_REQUEST)
         else:
-            has_progress = self._head_began or len(self._body) > length_before
-            self._check_overhead(0 if has_progress else len(data))
+            if self._head_began or len(self._body) > length_before:
+                self._overhead_bytes = 0
+            else:
+                self._add_overhead(len(data))
 
-    def _check_overhead(self, count: int) -> None:
+    def _add_overhead(self, count: int) -> None:
         """Reject a request whose head or trailer does not end."""
-        if self._phase is not _Phase.READING:
-            return
-        if not count or not (self.head_since or self._in_body):
+        if not self.head_since and not self._in_body:
             self._overhead_bytes = 0
             return
         self._overhead_bytes += count
@@ -290,7 +290,8 @@
         exchange.task = asyncio.get_running_loop().create_task(self._answer(exchange, request))
         if not self._parser.should_keep_alive() or self._owner.is_draining:
             self._phase = _Phase.FINISHING
-        self._update_reading()
+        if len(self._exchanges) >= MAX_PIPELINED_REQUEST_COUNT:
+            self._update_reading()
 
     def _take_body(self) -> bytes | bytearray:
         body, self._body = self._body, bytearray()
@@ -336,7 +337,7 @@
         self.idle_since = time.monotonic()
         if self._phase is _Phase.FINISHING and not self._exchanges:
             self._linger()
-        else:
+        elif self._is_paused:
             self._update_reading()
 
     def _linger(self) -> None:
--- a/apricotwalk/metrics/_mesh_metrics.py
+++ b/apricotwalk/metrics/_mesh_metrics.py
@@ -82,6 +82,12 @@
             ["stream", "kind"],
             registry=self._registry,
         )
+        # Looking up a child by its labels takes longer than counting with it.
+        self._answers_by_labels: dict[tuple[str, int], tuple[Counter, Histogram]] = {}
+        self._outcomes_by_cause: dict[str, Counter] = {}
+        self._sent_by_is_repeat = {
+            is_repeat: self._sent.labels(str(is_repeat).lower()) for is_repeat in (False, True)
+        }
         self._routes: set[str] = set()
 
     def count_answer(self, route: str, status: int, seconds: float) -> None:
@@ -90,16 +96,24 @@
             if len(self._routes) >= MAX_ROUTE_COUNT:
                 route = OVERFLOW_ROUTE
             self._routes.add(route)
-        self._answers.labels(route, status).inc()
-        self._answer_seconds.labels(route).observe(seconds)
+        children = self._answers_by_labels.get((route, status))
+        if children is None:
+            children = self._answers.labels(route, status), self._answer_seconds.labels(route)
+            self._answers_by_labels[route, status] = children
+        counter, histogram = children
+        counter.inc()
+        histogram.observe(seconds)
 
     def count_server_side_outcome(self, cause: str) -> None:
         """Count the outcome of a forwarded request by its cause."""
-        self._outcomes.labels(cause).inc()
+        counter = self._outcomes_by_cause.get(cause)
+        if counter is None:
+            counter = self._outcomes_by_cause[cause] = self._outcomes.labels(cause)
+        counter.inc()
 
     def count_sent(self, is_repeat: bool) -> None:
         """Count a request that is sent to the backend server."""
-        self._sent.labels(str(is_repeat).lower()).inc()
+        self._sent_by_is_repeat[is_repeat].inc()
 
     def count_store_call(self, stream: str, kind: str) -> None:
         """Count a call to the store, whatever its outcome."""
--- a/apricotwalk/peering/_body_transfers.py
+++ b/apricotwalk/peering/_body_transfers.py
@@ -16,7 +16,9 @@
     ReplyMessage,
 )
 
-__all__ = ["BodyTransfers"]
+__all__ = ["BodyTransfers", "TransferMessage"]
+
+TransferMessage = BodyAcceptMessage | BodyOfferMessage | BodyPartMessage
 
 # A part delays the small messages behind it by 5 ms at 100 Mbit/s.
 PART_BYTES = 65_536
@@ -99,8 +101,8 @@
             await asyncio.sleep(0)
         return True
 
-    def handle(self, message: PeerMessage) -> bool:
-        """Handle a message of a transfer, and return whether it was one.
+    def handle(self, message: TransferMessage) -> None:
+        """Handle a message of a transfer.
 
         Raises
         ------
@@ -111,15 +113,12 @@
             self._append(message)
         elif isinstance(message, BodyOfferMessage):
             self._receive_offer(message)
-        elif isinstance(message, BodyAcceptMessage):
+        else:
             accepted = self._accepts_by_call.get(message.call)
             if accepted is not None and not accepted.done():
                 accepted.set_result(None)
-        else:
-            return False
-        return True
 
-    def attach(self, message: PeerMessage) -> PeerMessage:
+    def attach(self, message: ForwardMessage | ReplyMessage) -> ForwardMessage | ReplyMessage:
         """Return a request or reply with the body whose parts preceded it.
 
         Raises
@@ -127,8 +126,6 @@
         WireError
             If the body is not complete.
         """
-        if not isinstance(message, ForwardMessage | ReplyMessage) or not message.body_length:
-            return message
         incoming = self._incoming_by_call.pop(message.call, None)
         length = len(incoming.body) if incoming is not None else 0
         if incoming is None or length != message.body_length:
--- a/apricotwalk/peering/_frames.py
+++ b/apricotwalk/peering/_frames.py
@@ -16,10 +16,21 @@
 
 from apricotwalk.core import BodyMemory, WireError
 from apricotwalk.peering._body_transfers import BodyTransfers
-from apricotwalk.peering._messages import PeerMessage, decode_peer_message, encode_peer_message
+from apricotwalk.peering._messages import (
+    BodyAcceptMessage,
+    BodyOfferMessage,
+    BodyPartMessage,
+    ForwardMessage,
+    PeerMessage,
+    ReplyMessage,
+    decode_peer_message,
+    encode_peer_message,
+)
 
 __all__ = ["FrameProtocol"]
 
+_MESSAGES_WITH_BODY = (ForwardMessage, ReplyMessage)
+_TRANSFER_MESSAGES = (BodyAcceptMessage, BodyOfferMessage, BodyPartMessage)
 _LENGTH = struct.Struct(">I")
 # Large bodies cross in parts; the largest other message lists the members of the whole fleet.
 MAX_FRAME_BYTES = 16 * 1024 * 1024
@@ -69,8 +80,7 @@
                     break
                 message = decode_peer_message(bytes(received[position + _LENGTH.size : end]))
                 position = end
-                if not self.transfers.handle(message):
-                    self.handle_message(self.transfers.attach(message))
+                self._dispatch(message)
         except WireError as error:
             logger.warning("peer sent a malformed message: {}", error)
             self.close()
@@ -78,6 +88,20 @@
         if position:
             del received[:position]
 
+    def _dispatch(self, message: PeerMessage) -> None:
+        if isinstance(message, _MESSAGES_WITH_BODY):
+            if message.body_length:
+                message = self.transfers.attach(message)
+            self.handle_message(message)
+        elif isinstance(message, _TRANSFER_MESSAGES):
+            self.record_transfer()
+            self.transfers.handle(message)
+        else:
+            self.handle_message(message)
+
+    def record_transfer(self) -> None:
+        """Take note of a part of a body, which shows like any message that the peer is alive."""
+
     def pause_writing(self) -> None:
         """Interrupt the transfer of bodies; called by the event loop."""
         self.transfers.pause()
--- a/apricotwalk/peering/_links.py
+++ b/apricotwalk/peering/_links.py
@@ -84,11 +84,11 @@
     def pending_call_count(self) -> int:
         return len(self._pending_replies_by_call)
 
-    def data_received(self, data: bytes) -> None:
+    def record_transfer(self) -> None:
         self.pinged_at = 0.0
-        super().data_received(data)
 
     def handle_message(self, message: PeerMessage) -> None:
+        self.pinged_at = 0.0
         if isinstance(message, ReplyMessage):
             reply = self._pending_replies_by_call.pop(message.call, None)
             if reply is not None and not reply.done():
--- a/apricotwalk_lab/soak/_demanding_callers.py
+++ b/apricotwalk_lab/soak/_demanding_callers.py
@@ -100,9 +100,13 @@
         connected = socket.socket()
         connected.setblocking(False)
         connected.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES)
-        address = (self._hosts[node], CALLER_PORT)
-        await asyncio.get_running_loop().sock_connect(connected, address)
-        return await asyncio.open_connection(sock=connected)
+        try:
+            address = (self._hosts[node], CALLER_PORT)
+            await asyncio.get_running_loop().sock_connect(connected, address)
+            return await asyncio.open_connection(sock=connected)
+        except BaseException:
+            connected.close()
+            raise
 
     def _begin(self, node: int, path: str, is_pipelined: bool = False) -> CallerRequest:
         request_id = f"long-{next(self._numbers):06d}"
