Allocate large bodies separately, and bound those of unknown length

Cause: with eight callers of a server that never ends its answers, a node grew to 255 MB where its memory for answers is 120 MB: freed blocks raise the size up to which the C library uses its heap, where growing bodies are copied and leave gaps. Change: a fixed threshold from the first large body on, and three eighths of the memory for bodies of unknown length.

--- a/apricotwalk/core/_body_memory.py
+++ b/apricotwalk/core/_body_memory.py
@@ -1,10 +1,13 @@
 """Memory for the large bodies that a node holds for callers and backend servers."""
 
 import asyncio
+import functools
 from collections import deque
 from collections.abc import Callable
 from dataclasses import dataclass
 
+from loguru import logger
+
 __all__ = ["SMALL_BODY_BYTES", "BodyMemory", "CountedBody"]
 
 # Bodies up to this size are not counted: all of the few hundred requests that a node has in
@@ -12,6 +15,29 @@
 SMALL_BODY_BYTES = 65_536
 # Bodies of unknown length are counted in steps of this size.
 GROWTH_BYTES = 262_144
+# Bodies of unknown length may take this share of the memory together, because one that never ends
+# looks like any other until then.
+MAX_GROWING_SHARE = 0.375
+# Parameter of mallopt(3) in the C library, and its value in bytes.
+M_MMAP_THRESHOLD = -3
+MMAP_THRESHOLD_BYTES = 131_072
+
+
+@functools.cache
+def _keep_large_blocks_separate() -> None:
+    """Let the C library allocate each large block separately, whatever was freed before.
+
+    Notes
+    -----
+    Otherwise it takes larger and larger blocks from a heap that is shared with small ones.  Bodies
+    that grow there are copied each time and leave gaps, which doubled the memory of a node.
+    """
+    import ctypes  # most nodes never hold a large body, and the import lengthens each start
+
+    try:
+        ctypes.CDLL(None).mallopt(M_MMAP_THRESHOLD, MMAP_THRESHOLD_BYTES)
+    except (OSError, AttributeError) as error:
+        logger.warning("cannot set the allocation of large blocks: {}", error)
 
 
 class CountedBody(bytearray):
@@ -33,6 +59,7 @@
 
     def __init__(self, memory: "BodyMemory") -> None:
         super().__init__()
+        _keep_large_blocks_separate()
         self._memory = memory
         self.counted_bytes = 0
 
@@ -66,6 +93,7 @@
 
     def __init__(self, max_bytes: int) -> None:
         self.max_bytes = max_bytes
+        self.max_growing_bytes = int(max_bytes * MAX_GROWING_SHARE)
         self.used_bytes = 0
         self._waiters: deque[_Waiter] = deque()
         self._drops_by_body: dict[int, tuple[CountedBody, Callable[[], None]]] = {}
@@ -105,7 +133,9 @@
         The largest growing body is dropped as often as necessary, which may be this one.
         """
         while length > body.counted_bytes:
-            if self.used_bytes + GROWTH_BYTES <= self.max_bytes:
+            growing_bytes = sum(each.counted_bytes for each, _ in self._drops_by_body.values())
+            is_within_share = growing_bytes + GROWTH_BYTES <= self.max_growing_bytes
+            if is_within_share and self.used_bytes + GROWTH_BYTES <= self.max_bytes:
                 self._grant(body, GROWTH_BYTES)
                 continue
             if not self._drops_by_body:
--- a/tests/test_endless_answers.py
+++ b/tests/test_endless_answers.py
@@ -92,6 +92,7 @@
 def test_endless_answers_leave_memory_for_others():
     """The largest body of unknown length makes room for the others, and only that one."""
     memory = BodyMemory(4 * MEBIBYTE)
+    memory.max_growing_bytes = memory.max_bytes
     bodies = {"first": CountedBody(memory), "second": CountedBody(memory)}
     dropped = []
 
@@ -112,6 +113,14 @@
     assert memory.used_bytes == 0
 
 
+def test_bodies_of_unknown_length_leave_memory_for_those_of_known_length():
+    memory = BodyMemory(8 * MEBIBYTE)
+    growing, known = CountedBody(memory), CountedBody(memory)
+    memory.add_growing(growing, lambda: None)
+    assert not memory.grow(growing, 4 * MEBIBYTE)
+    assert memory.try_acquire(known, 4 * MEBIBYTE)
+
+
 def test_caller_gets_a_truthful_status_in_time_while_a_server_never_ends_its_answer(run):
     async def body():
         async with running_mesh(("m1", "menu-svc"), ("d1", "dispatch-svc")) as mesh:
