Let a suspect wait for the reports of attempts that ran at the same time

Cause: two attempts of a request that crash two servers together were both repeated, each on a node that knew of one crash, so four servers crashed where three are allowed. Change: a suspect is executed again only 0.1 s after its last report.

--- a/apricotwalk/quarantine/_crash_watch.py
+++ b/apricotwalk/quarantine/_crash_watch.py
@@ -12,6 +12,9 @@
 
 # A server that crashes can lose its connections shortly before its listener.
 RECHECK_DELAYS_SECONDS = (0.02, 0.08)
+# Reports of crashes that happen at the same time on several nodes reach the others within this
+# time, also while the nodes are busy.
+REPORT_SETTLING_SECONDS = 0.1
 
 
 class _Backend(Protocol):
@@ -93,12 +96,25 @@
             return False
         await self._acquire_suspect_lock(timeout_seconds)
         try:
+            await self._await_other_reports(fingerprint, timeout_seconds)
             self.refuse_quarantined(fingerprint)
-        except CallFailure:
+        except BaseException:
             self.release_suspect_slot()
             raise
         return True
 
+    async def _await_other_reports(self, fingerprint: int, timeout_seconds: float) -> None:
+        """Wait until reports about attempts that ran at the same time have arrived.
+
+        Notes
+        -----
+        Two attempts that crash two servers together would otherwise both be repeated, each on a
+        node that knows of one crash only.
+        """
+        settling_seconds = REPORT_SETTLING_SECONDS - self.registry.seconds_since_report(fingerprint)
+        if 0.0 < settling_seconds < timeout_seconds:
+            await asyncio.sleep(settling_seconds)
+
     def release_suspect_slot(self) -> None:
         """Release the slot, so that the next suspect can be executed."""
         self._suspect_lock.release()
--- a/apricotwalk/quarantine/_registry.py
+++ b/apricotwalk/quarantine/_registry.py
@@ -3,6 +3,7 @@
 from collections import OrderedDict
 from collections.abc import Iterable
 from itertools import islice
+from math import inf
 
 from apricotwalk.core import Clock, Suspect
 
@@ -85,6 +86,12 @@
         suspect = self._find(fingerprint)
         return suspect is not None and suspect.open_crash_count >= self._crash_limit
 
+    def seconds_since_report(self, fingerprint: int) -> float:
+        """Return the time in seconds since the entry of a request changed, infinite without one."""
+        self._expire()
+        entry = self._suspects_by_fingerprint.get(fingerprint)
+        return self._clock.monotonic() - entry[0] if entry else inf
+
     def find(self, fingerprint: int) -> list[Suspect]:
         """Return the entry of one request, as a list of at most one suspect."""
         suspect = self._find(fingerprint)
--- a/tests/test_quarantine.py
+++ b/tests/test_quarantine.py
@@ -205,6 +205,23 @@
     run(body())
 
 
+def test_repeat_waits_for_the_report_of_an_attempt_that_crashed_at_the_same_time(run):
+    """Two attempts that crash two servers together must not both be executed again."""
+
+    async def body():
+        watch = new_watch()
+        watch.registry.report(CRASHING, "menu-2#1")
+        asyncio.get_running_loop().call_later(0.02, watch.registry.report, CRASHING, "menu-3#1")
+        with pytest.raises(CallFailure) as caught:
+            async with watch.suspect_slot(CRASHING, 1.0):
+                pass
+        assert caught.value.cause == "quarantined"
+        async with asyncio.timeout(1.0), watch.suspect_slot(HARMLESS, 1.0):
+            pass
+
+    run(body())
+
+
 def test_registry_is_bounded_and_its_entries_expire():
     clock = ManualClock()
     registry = QuarantineRegistry(clock)
