--- a/apricotwalk_lab/soak/_checks.py
+++ b/apricotwalk_lab/soak/_checks.py
@@ -204,11 +204,14 @@
         if stop.kind is not FaultKind.NODE_TERMINATED:
             continue
         end = stop.at + STOP_SECONDS + 1.0
-        if any(_overlaps(fault, stop.at - UNDISTURBED_SECONDS, end) for fault in plan.faults):
+        disturbing = [
+            fault for fault in plan.faults if _overlaps(fault, stop.at - UNDISTURBED_SECONDS, end)
+        ]
+        if any(_ends_connections_of(stop.node, fault) for fault in disturbing):
             continue
         for request in records.tries:
             if request.node == stop.node and request.ended > stop.at and request.sent < end:
-                yield from _check_cut(request, records)
+                yield from _check_cut(request, records, is_calm=not disturbing)
 
 
 def _check_availability(plan: SoakPlan, records: Records) -> Iterator[str]:
@@ -230,13 +233,20 @@
         yield f"{len(failed)} of {len(judged)} failed without a fault of their own: {example}"
 
 
-def _check_cut(request: CallerRequest, records: Records) -> Iterator[str]:
+def _ends_connections_of(node: int, fault: Fault) -> bool:
+    """Return whether a fault can end the connections of callers to a node."""
+    return fault.kind is FaultKind.NODES_KILLED_IN_TURN or (
+        fault.node == node and fault.kind in (FaultKind.NODE_KILLED, FaultKind.NODE_FROZEN)
+    )
+
+
+def _check_cut(request: CallerRequest, records: Records, is_calm: bool) -> Iterator[str]:
     was_executed = bool(records.executions_by_request.get(request.request_id))
     # A request behind the last answer of a connection counts as unread, however long it waited.
     is_late = request.ended - request.sent > LATE_CUT_SECONDS and not request.is_pipelined
-    if not request.status and (was_executed or is_late):
+    if not request.status and (was_executed or (is_late and is_calm)):
         yield f"cut at a planned stop: {_describe(request, records)}"
-    if request.status in NODE_FAILURE_STATUSES and was_executed:
+    if is_calm and request.status in NODE_FAILURE_STATUSES and was_executed:
         yield f"broken off at a planned stop: {_describe(request, records)}"
 
 
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -129,6 +129,20 @@
             SoakPlan(0, ("menu",), (Fault(FaultKind.NODE_TERMINATED, 10.0, 1.0, 0),)),
             "cut at a planned stop",
         ),
+        (
+            new_records(
+                new_try(status=0, sent=10.1, ended=10.2), runs=[("q", "s1", "menu", 10.15)]
+            ),
+            SoakPlan(
+                0,
+                ("menu", "menu"),
+                (
+                    Fault(FaultKind.NODE_TERMINATED, 10.0, 1.0, 0),
+                    Fault(FaultKind.NODE_KILLED, 10.5, 0.0, 1),
+                ),
+            ),
+            "cut at a planned stop",
+        ),
         (
             new_records(
                 new_try(status=502, sent=10.1, ended=10.2), runs=[("q", "s1", "menu", 10.15)]
