Do not take a returned greeting for the record of an earlier process

A peer that knows nothing of a restarted node returns the record with which the node has greeted it, which ended the wait for what an earlier process had acknowledged. Change: only a record of an earlier incarnation or the directory ends it. Result: the new test, which fails without the change.

--- a/apricotwalk/meshnode/_node.py
+++ b/apricotwalk/meshnode/_node.py
@@ -141,6 +141,7 @@
         )
         self._members_freshness = Freshness(self._clock, MEMBERS_MAX_AGE_SECONDS)
         self.members = self._build_members()
+        self._first_incarnation = self.members.own.incarnation
         self._peer_handler = MeshPeerHandler(
             self.members,
             self.configuration,
@@ -452,10 +453,20 @@
             self.members.announce(MemberState.ALIVE, "the backend server is ready")
 
     def _apply_own_history(self, record: Member | None) -> None:
-        """Apply what an earlier process of this node has published, or None if it has not."""
-        if record is not None and record.departure is not None:
+        """Apply a record of this node, or None after the directory has been read.
+
+        Notes
+        -----
+        A peer can return the record with which this process has greeted it, which says nothing
+        about an earlier one.
+        """
+        if record is None:
+            self.registry.settle("directory")
+            return
+        if record.departure is not None:
             self.registry.restore_departure(record.departure)
-        self.registry.settle("directory" if record is None else "record of this node")
+        if record.incarnation < self._first_incarnation:
+            self.registry.settle("record of an earlier process")
 
     async def _limit_wait_for_history(self) -> None:
         """Let the backend server receive work if neither the store nor a peer answers."""
--- a/tests/test_server_leaving.py
+++ b/tests/test_server_leaving.py
@@ -3,6 +3,7 @@
 import asyncio
 
 import pytest
+from msgspec.structs import replace
 
 from apricotwalk.border import HeartbeatCall
 from apricotwalk.core import Departure, ManualClock, ServerNotice
@@ -200,3 +201,15 @@
             caller.close()
 
     run(body())
+
+
+def test_own_greeting_that_a_peer_returns_does_not_end_the_wait_for_the_history():
+    store = FakeStore()
+    store.members.set_unavailable()
+    node = MeshNode(FakePlatform(store, "menu-svc", "n-1"))
+    node.registry.handle_call(new_heartbeat_call(node.registry, started_ms=STARTED_MS))
+    node._apply_own_history(node.members.own)
+    assert node.registry.current is None
+    earlier = replace(node.members.own, incarnation=node.members.own.incarnation - 1)
+    node._apply_own_history(earlier)
+    assert node.registry.current is not None
