Ignore the offer of a body whose call has been cancelled

Cause: found by reading the change. An offer that crosses the cancellation of its call was accepted, and nothing released its memory until the connection closed. Change: a link accepts the bodies of its pending calls only, and drops what it received when one ends. Result: both new tests; the first cannot run without the change.

--- a/apricotwalk/peering/_body_transfers.py
+++ b/apricotwalk/peering/_body_transfers.py
@@ -39,6 +39,9 @@
         Sends a message and returns whether the connection was open.
     memory : BodyMemory
         Memory for the bodies that are received.
+    is_expected : callable
+        Returns whether the body of an attempt is still wanted; an offer of another one crossed its
+        cancellation and is ignored.
 
     Notes
     -----
@@ -47,8 +50,14 @@
     which the body belongs follows the last part.
     """
 
-    def __init__(self, send: Callable[[PeerMessage], bool], memory: BodyMemory) -> None:
+    def __init__(
+        self,
+        send: Callable[[PeerMessage], bool],
+        memory: BodyMemory,
+        is_expected: Callable[[int], bool],
+    ) -> None:
         self._send = send
+        self._is_expected = is_expected
         self._memory = memory
         self._incoming_by_call: dict[int, _IncomingBody] = {}
         self._accepts_by_call: dict[int, asyncio.Future[None]] = {}
@@ -148,6 +157,8 @@
         self._is_writable.set()
 
     def _receive_offer(self, offer: BodyOfferMessage) -> None:
+        if not self._is_expected(offer.call):
+            return
         body = CountedBody(self._memory)
         self.cancel(offer.call)
         self._incoming_by_call[offer.call] = _IncomingBody(body, offer.length)
--- a/apricotwalk/peering/_frames.py
+++ b/apricotwalk/peering/_frames.py
@@ -52,7 +52,7 @@
     def __init__(self, memory: BodyMemory) -> None:
         self.transport: asyncio.Transport | None = None
         self._received = bytearray()
-        self.transfers = BodyTransfers(self.send, memory)
+        self.transfers = BodyTransfers(self.send, memory, self.expects_body)
 
     @property
     def is_open(self) -> bool:
@@ -99,6 +99,10 @@
         else:
             self.handle_message(message)
 
+    def expects_body(self, call: int) -> bool:
+        """Return whether the body of an attempt may be received."""
+        return True
+
     def record_transfer(self) -> None:
         """Take note of a part of a body, which shows like any message that the peer is alive."""
 
--- a/apricotwalk/peering/_links.py
+++ b/apricotwalk/peering/_links.py
@@ -84,6 +84,9 @@
     def pending_call_count(self) -> int:
         return len(self._pending_replies_by_call)
 
+    def expects_body(self, call: int) -> bool:
+        return call in self._pending_replies_by_call
+
     def record_transfer(self) -> None:
         self.pinged_at = 0.0
 
@@ -112,10 +115,10 @@
             return await reply
         except asyncio.CancelledError:
             self.send(CancelMessage(message.call))
-            self.transfers.cancel(message.call)
             raise
         finally:
             self._pending_replies_by_call.pop(message.call, None)
+            self.transfers.cancel(message.call)
 
     async def _send_body(self, message: ForwardMessage) -> ForwardMessage:
         """Send a large body ahead of its request, and return the request without it."""
--- a/tests/test_body_memory.py
+++ b/tests/test_body_memory.py
@@ -8,6 +8,8 @@
 from apricotwalk.core import BodyMemory, CallFailure, CountedBody
 from apricotwalk.forwarding import BackendPool
 from apricotwalk.http1 import HttpResponse
+from apricotwalk.peering._body_transfers import BodyTransfers
+from apricotwalk.peering._messages import BodyAcceptMessage, BodyOfferMessage
 from tests.mesh_fakes import FakeResponse, new_configuration, read_message
 from tests.mesh_harness import DISPATCH, MENU, running_mesh
 from tests.test_endless_answers import CHUNKED, HEAD, EndlessServer
@@ -100,6 +102,36 @@
     run(body())
 
 
+def test_offer_that_crosses_the_cancellation_of_its_call_holds_no_memory():
+    memory, sent = BodyMemory(MEBIBYTE), []
+    transfers = BodyTransfers(
+        lambda message: bool(sent.append(message)) or True, memory, {1}.__contains__
+    )
+    transfers.handle(BodyOfferMessage(2, 100_000))
+    assert (memory.used_bytes, sent) == (0, [])
+    transfers.handle(BodyOfferMessage(1, 100_000))
+    assert (memory.used_bytes, sent) == (100_000, [BodyAcceptMessage(1)])
+    transfers.cancel(1)
+    assert memory.used_bytes == 0
+
+
+def test_answer_whose_caller_leaves_during_its_transfer_is_released(run):
+    async def body():
+        async with running_mesh(*MEMBERS, version=LARGE_VERSION) as mesh:
+            mesh.servers["d1"].respond = lambda request: FakeResponse(body=b"x" * 20 * MEBIBYTE)
+            for _ in range(5):
+                caller = await mesh.caller("m1")
+                caller.send("/dispatch/1", method="POST", deadline_ms=5000)
+                while not mesh.nodes["m1"].downloads.used_bytes:
+                    await asyncio.sleep(0)
+                caller.writer.transport.abort()
+                async with asyncio.timeout(5.0):
+                    while any(node.downloads.used_bytes for node in mesh.nodes.values()):
+                        await asyncio.sleep(0.01)
+
+    run(body())
+
+
 def test_large_uploads_wait_for_memory_in_turn(run):
     length = 600_000
 
