--- a/apricotwalk/core/__init__.py
+++ b/apricotwalk/core/__init__.py
@@ -18,6 +18,7 @@
 from apricotwalk.core._mechanisms import ALL_ON, Mechanism, MechanismSwitches
 from apricotwalk.core._pause import PauseDetector
 from apricotwalk.core._server_notice import ServerNotice
+from apricotwalk.core._server_socket import ServerSocket
 from apricotwalk.core._supervisor import Service, Supervisor
 from apricotwalk.core._suspect import Suspect
 from apricotwalk.core._verdict import Verdict
@@ -41,6 +42,7 @@
     "PolicyError",
     "RecordError",
     "ServerNotice",
+    "ServerSocket",
     "Service",
     "SettingsError",
     "Supervisor",
--- a/apricotwalk/daemon/_mesh_process.py
+++ b/apricotwalk/daemon/_mesh_process.py
@@ -5,6 +5,7 @@
 import functools
 import signal
 import sys
+import time
 from typing import Any
 
 import uvloop
@@ -19,6 +20,11 @@
 
 EXIT_CANNOT_START = 1
 EXIT_SETTINGS = 2
+# The platform writes the settings while it starts the process; after this time an operator has to
+# correct them.
+SETTINGS_WAIT_SECONDS = 30.0
+SETTINGS_RETRY_SECONDS = 0.1
+HANDLED_SIGNALS = (signal.SIGHUP, signal.SIGINT, signal.SIGTERM)
 
 
 def run() -> None:
@@ -27,7 +33,7 @@
     parser.add_argument("--check", action="store_true", help="validate the settings and exit")
     arguments = parser.parse_args()
     try:
-        platform = open_platform()
+        platform = open_platform() if arguments.check else _wait_for_platform()
     except SettingsError as error:
         print(f"apricotwalk-mesh: {error}", file=sys.stderr)
         sys.exit(EXIT_SETTINGS)
@@ -43,6 +49,28 @@
         sys.exit(EXIT_CANNOT_START)
 
 
+def _wait_for_platform() -> ExternalPlatform:
+    """Open the platform as soon as its settings are complete.
+
+    Raises
+    ------
+    SettingsError
+        If they are still missing or malformed after `SETTINGS_WAIT_SECONDS`.
+    """
+    deadline = time.monotonic() + SETTINGS_WAIT_SECONDS
+    reported = ""
+    while True:
+        try:
+            return open_platform()
+        except SettingsError as error:
+            if time.monotonic() >= deadline:
+                raise
+            if str(error) != reported:
+                reported = str(error)
+                print(f"apricotwalk-mesh: waiting for settings: {error}", file=sys.stderr)
+        time.sleep(SETTINGS_RETRY_SECONDS)
+
+
 async def _run(platform: ExternalPlatform) -> None:
     stop = asyncio.Event()
     loop = asyncio.get_running_loop()
@@ -57,6 +85,21 @@
     await stop.wait()
     await node.drain()
     await node.close()
+    _ignore_signals(loop)
+
+
+def _ignore_signals(loop: asyncio.AbstractEventLoop) -> None:
+    """Ignore further signals, whose default action would end the process with an error status.
+
+    Notes
+    -----
+    The event loop restores the default actions when it closes, and when a handler is removed, so
+    the signals are blocked meanwhile.
+    """
+    signal.pthread_sigmask(signal.SIG_BLOCK, HANDLED_SIGNALS)
+    for signal_number in HANDLED_SIGNALS:
+        loop.remove_signal_handler(signal_number)
+        signal.signal(signal_number, signal.SIG_IGN)
 
 
 def _write_to_decision_log(log: DecisionLog, message: Any) -> None:
--- a/apricotwalk/http1/_listener.py
+++ b/apricotwalk/http1/_listener.py
@@ -3,7 +3,7 @@
 import asyncio
 import time
 
-from apricotwalk.core import BodyMemory, Service, Supervisor
+from apricotwalk.core import BodyMemory, ServerSocket, Service, Supervisor
 from apricotwalk.http1._caller_connection import (
     CallerConnection,
     ConnectionOwner,
@@ -61,9 +61,16 @@
         self.limits = HttpLimits()
         self.connections: set[CallerConnection] = set()
         self.is_draining = False
-        self._server: asyncio.Server | None = None
+        self._socket = ServerSocket(
+            address.host, address.port, lambda: CallerConnection(self), BACKLOG_CONNECTION_COUNT
+        )
         self._supervisor = Supervisor(f"listener {address}")
 
+    @property
+    def is_listening(self) -> bool:
+        """Whether connections are accepted."""
+        return self._socket.is_open
+
     @property
     def is_busy(self) -> bool:
         """Whether a request is in progress or a caller may not have all of its answer."""
@@ -71,13 +78,7 @@
 
     async def start(self) -> None:
         """Start to accept connections and to enforce the time-outs."""
-        loop = asyncio.get_running_loop()
-        self._server = await loop.create_server(
-            lambda: CallerConnection(self),
-            self._address.host,
-            self._address.port,
-            backlog=BACKLOG_CONNECTION_COUNT,
-        )
+        await self._socket.start()
         self._supervisor.run_loop("sweep", self._sweep)
 
     def start_draining(self) -> None:
@@ -98,13 +99,11 @@
 
     def stop_listening(self) -> None:
         """Stop accepting connections; open ones are kept."""
-        if self._server is not None:
-            self._server.close()
-            self._server = None
+        self._socket.stop_listening()
 
     async def close(self) -> None:
         """Stop listening and close the connections that are idle or have been answered."""
-        self.stop_listening()
+        await self._socket.close()
         self.close_idle()
         for connection in list(self.connections):
             connection.close_if_written()
--- a/apricotwalk/meshnode/_node.py
+++ b/apricotwalk/meshnode/_node.py
@@ -200,8 +200,9 @@
 
     @property
     def is_ready(self) -> bool:
-        """Whether the node has a configuration and is not stopping."""
-        return not self.is_stopping and self.configuration.table is not None
+        """Whether the node accepts requests, has a configuration and is not stopping."""
+        is_serving = self._caller_listener.is_listening and self.configuration.table is not None
+        return is_serving and not self.is_stopping
 
     async def start(self) -> None:
         """Register the callbacks and start every service and background loop."""
--- a/apricotwalk/peering/_listener.py
+++ b/apricotwalk/peering/_listener.py
@@ -6,7 +6,7 @@
 
 from msgspec.structs import replace
 
-from apricotwalk.core import SMALL_BODY_BYTES, BodyMemory, Service
+from apricotwalk.core import SMALL_BODY_BYTES, BodyMemory, ServerSocket, Service
 from apricotwalk.peering._frames import FrameProtocol
 from apricotwalk.peering._messages import (
     CancelMessage,
@@ -112,22 +112,19 @@
     def __init__(
         self, address: Address, handler: PeerHandler, memory: BodyMemory | None = None
     ) -> None:
-        self._address = address
-        self._handler = handler
         self.memory = memory or BodyMemory(DEFAULT_BODY_MEMORY_BYTES)
-        self._server: asyncio.Server | None = None
+        self._socket = ServerSocket(
+            address.host,
+            address.port,
+            lambda: _AcceptedConnection(self, handler),
+            BACKLOG_CONNECTION_COUNT,
+        )
         self.connections: set[_AcceptedConnection] = set()
         self.calls_in_flight = 0
 
     async def start(self) -> None:
         """Start to accept connections."""
-        loop = asyncio.get_running_loop()
-        self._server = await loop.create_server(
-            lambda: _AcceptedConnection(self, self._handler),
-            self._address.host,
-            self._address.port,
-            backlog=BACKLOG_CONNECTION_COUNT,
-        )
+        await self._socket.start()
 
     @property
     def is_busy(self) -> bool:
@@ -147,9 +144,7 @@
 
     async def close(self) -> None:
         """Stop listening and close every connection once its write buffer is flushed."""
-        if self._server is not None:
-            self._server.close()
-            self._server = None
+        await self._socket.close()
         for connection in list(self.connections):
             if connection.transport is not None:
                 connection.transport.close()
--- a/apricotwalk/platform/_settings.py
+++ b/apricotwalk/platform/_settings.py
@@ -81,7 +81,6 @@
     Unknown fields are ignored, because newer versions of the platform add fields.
     """
     fields = _Fields(source, _split_lines(text, source))
-    instance_ip = fields.text("ip")
     first_port = fields.parse("internal-ports", lambda value: int(value.split(",")[0]))
     return MeshSettings(
         instance=fields.text("node"),
@@ -92,8 +91,8 @@
         backend=fields.parse("app-addr", Address.parse),
         readiness=fields.parse("listen.ready", Address.parse),
         heartbeats=fields.parse("listen.control", Address.parse),
-        peers=Address(instance_ip, first_port),
-        metrics=Address(instance_ip, METRICS_PORT),
+        peers=fields.parse("ip", lambda value: Address(value, first_port)),
+        metrics=fields.parse("ip", lambda value: Address(value, METRICS_PORT)),
         seeds=fields.parse("seeds", lambda value: _parse_seed_peers(value, first_port)),
         store=fields.parse("platform.address", Address.parse),
         heartbeat_seconds=fields.parse("heartbeat-interval", parse_seconds),
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -3,6 +3,7 @@
 import base64
 import json
 import struct
+from contextlib import suppress
 
 import pytest
 from tornado.httpserver import HTTPServer
@@ -113,6 +114,7 @@
         ("=1500ms", "=1500", "settings.conf:11: heartbeat-interval"),
         ("=49", "=many", "settings.conf:17: bounds.budget-slack"),
         ("=7620,7635", "=", "settings.conf:9: internal-ports"),
+        ("ip=10.1.0.8\n", "ip=10.1.0.\n", "settings.conf:3: ip"),
         ("a.field.of.the.future=1", "bootstrap=yes", "settings.conf:21: bootstrap"),
     ],
 )
@@ -123,6 +125,13 @@
     assert message in str(caught.value)
 
 
+def test_part_of_a_settings_file_is_refused_or_parsed():
+    """A file can be read while the platform writes it."""
+    for length in range(len(SETTINGS)):
+        with suppress(SettingsError):
+            parse_settings(SETTINGS[:length], "settings.conf")
+
+
 def test_configuration_is_decoded_into_routes_and_limits():
     configuration = decode_configuration(json.dumps(CONFIGURATION).encode())
     split, single = configuration.routes
