Hold a closing connection until its caller has acknowledged the last answer

Cause: an answer that the kernel had taken counted as delivered, so the node closed the connection after a second, and data that arrives at a closed socket resets it.

Change: SIOCOUTQ tells what the caller has not acknowledged; the second begins when that is nothing.

--- a/apricotwalk/http1/_caller_connection.py
+++ b/apricotwalk/http1/_caller_connection.py
@@ -12,6 +12,7 @@
 from loguru import logger
 
 from apricotwalk.core import SMALL_BODY_BYTES, BodyMemory, CountedBody
+from apricotwalk.http1._delivery import count_undelivered_bytes
 from apricotwalk.http1._head import CONNECTION_FIELDS, encode_field, encode_response_head
 from apricotwalk.http1._messages import HttpLimits, HttpRequest, HttpResponse
 
@@ -24,7 +25,7 @@
 BODY_WAIT_SECONDS = 5.0
 # Callers may return to another node at once, but a large body needs memory that is freed slowly.
 BODY_RETRY_AFTER_SECONDS = 1.0
-# A caller closes its side within a round trip after it has read the last answer.
+# A caller closes its side within a round trip after it has received the last answer.
 LINGER_SECONDS = 1.0
 # A caller that reads nothing for this long has left or never reads the rest.
 STALLED_WRITE_SECONDS = 10.0
@@ -78,7 +79,9 @@
     -----
     A connection never closes while the caller may still have to read an answer.  The node closes
     its own side after the last answer and drops what the caller sends until it closes too, because
-    closing with unread bytes resets the connection, which discards answers that are in transit.
+    closing with unread bytes resets the connection, which discards answers that are in transit.  It
+    does so until the caller has acknowledged the last answer, because a caller that has not read it
+    yet can still send requests, and because the machine can go away after the process.
     Requests behind the last answer count as unread, so callers send them again elsewhere.
     """
 
@@ -402,11 +405,20 @@
         if unsent_bytes:
             self._abort_if_stalled(unsent_bytes, now)
         elif self._phase is _Phase.LINGERING:
-            if now - self._written_at > LINGER_SECONDS:
-                self.close_if_written()
+            self._end_lingering(now)
         elif self._phase is _Phase.READING and not self._exchanges:
             self._enforce_reading_limits(now)
 
+    def _end_lingering(self, now: float) -> None:
+        """Close if the caller has had the last answer for a while and does not close itself."""
+        if self._transport is None:
+            return
+        undelivered_bytes = count_undelivered_bytes(self._transport)
+        if undelivered_bytes:
+            self._abort_if_stalled(undelivered_bytes, now)
+        elif now - self._written_at > LINGER_SECONDS:
+            self.close_if_written()
+
     def _abort_if_stalled(self, unsent_bytes: int, now: float) -> None:
         if unsent_bytes != self._unsent_bytes:
             self._unsent_bytes = unsent_bytes
--- a/tests/test_stops.py
+++ b/tests/test_stops.py
@@ -186,3 +186,36 @@
             assert loop.time() - began < STOP_SECONDS / 2
 
     run(body())
+
+
+def test_request_sent_long_after_the_last_answer_does_not_reset_the_connection(run):
+    """A caller that has not begun to read the answer does not know yet that it is the last one."""
+    answer = b"m" * 300_000
+
+    async def body():
+        async with running_mesh(*MEMBERS, stop_seconds=STOP_SECONDS) as mesh:
+            for server in mesh.servers.values():
+                server.respond = lambda request: FakeResponse(body=answer, delay=0.3)
+            with socket.socket() as caller:
+                caller.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+                address = mesh.nodes["m1"].settings.callers
+                caller.connect((address.host, address.port))
+                caller.setblocking(False)
+                loop = asyncio.get_running_loop()
+                request = (
+                    b"GET /menu/1 HTTP/1.1\r\nHost: mesh\r\nId: q-%d\r\nDeadline: 5000\r\n\r\n"
+                )
+                await loop.sock_sendall(caller, request % 1)
+                await asyncio.sleep(0.1)
+                stopping = asyncio.create_task(stop(mesh.nodes["m1"]))
+                # The node stops waiting for the caller 1 to 1.5 s after the kernel took the answer.
+                await asyncio.sleep(2.2)
+                await loop.sock_sendall(caller, request % 2)
+                await asyncio.sleep(0.2)
+                received = b""
+                while part := await loop.sock_recv(caller, 65_536):
+                    received += part
+                assert received.partition(b"\r\n\r\n")[2] == answer
+            await stopping
+
+    run(body())
