Start nothing late in a stop that would be cut at its end

Connections ended without an answer 5.5 s after SIGTERM, some after the request had run; requests of other nodes that had not run got 502 connection-lost.

Cause: what waited for admission when a node stopped stayed in the queue, here and beside other servers, until it started too late or the process ended.

Half-way to its end an entry node withdraws what it has forwarded; what has not started is refused as not run, and what has started has the other half of the time to complete. The list is a new field of the go-away message, which earlier nodes ignore.

Why it works: admission is the last point at which "not run" is certain, and the verdict comes from there.

--- a/apricotwalk/admission/_rank_queue.py
+++ b/apricotwalk/admission/_rank_queue.py
@@ -1,7 +1,7 @@
 """Admission by rank, deadline and floor under a concurrency limit."""
 
 import asyncio
-from collections.abc import Collection
+from collections.abc import Callable, Collection
 
 from apricotwalk.admission._announced_rate import AnnouncedRate
 from apricotwalk.admission._concurrency_limit import ConcurrencyLimit, Limit
@@ -183,6 +183,27 @@
             last.slot_granted.set_exception(self._full_queue_failure("the limit has fallen"))
         self._start_queued()
 
+    def refuse_queued(
+        self, is_refused: Callable[[WorkItem], bool], new_failure: Callable[[], CallFailure]
+    ) -> int:
+        """Refuse the queued calls that match a condition, and return their number.
+
+        Parameters
+        ----------
+        is_refused : callable
+            Returns whether a call is refused.
+        new_failure : callable
+            Returns the failure of one refused call.
+
+        Notes
+        -----
+        A call that has been granted a slot is not queued any more, so its answer is not affected.
+        """
+        refused = [work for work in self._queue.waiting() if is_refused(work.item)]
+        for work in refused:
+            work.slot_granted.set_exception(new_failure())
+        return len(refused)
+
     def load(self) -> float:
         """Return the load relative to the limit, or to the announced rate if that is higher."""
         slot_load = (self._occupied_slots + len(self._queue)) / self._limit.value
--- a/apricotwalk/admission/_work_queue.py
+++ b/apricotwalk/admission/_work_queue.py
@@ -88,6 +88,10 @@
         ]
         return max(waiting)[3] if waiting else None
 
+    def waiting(self) -> list[QueuedWork]:
+        """Return the queued calls in no particular order."""
+        return [entry[3] for entry in self._heap if not entry[3].is_settled]
+
     def first_with_floor(self, is_due: Callable[[Stream, float], bool]) -> QueuedWork | None:
         """Return the first queued call of a stream for which `is_due` holds, or None."""
         for stream, work in list(self._heads()):
--- a/apricotwalk/forwarding/_forwarder.py
+++ b/apricotwalk/forwarding/_forwarder.py
@@ -136,9 +136,15 @@
         self._log = log
         self._notices_by_instance: dict[str, ServerNotice] = {}
         self.caller_service = caller_service
+        self._is_withdrawn = False
         self.systemic_failures = SystemicFailureDetector()
         self.clock: Callable[[], float] = time.monotonic
 
+    def withdraw(self) -> None:
+        """Give up the requests that no server has started; see `PeerLinks.withdraw_calls`."""
+        self._is_withdrawn = True
+        self._links.withdraw_calls()
+
     async def forward(self, request: OutgoingRequest) -> ReplyMessage:
         """Forward a request and return the answer of a backend server.
 
@@ -224,6 +230,8 @@
 
     async def _attempt(self, request: OutgoingRequest) -> ReplyMessage:
         member = await self._wait_for_member(request)
+        if self._is_withdrawn:
+            raise CallFailure(Verdict.NOT_RUN, "stopping", "this node stops")
         request.tried_instances.add(member.instance)
         request.member, request.member_incarnation = member.instance, member.incarnation
         message = self._to_message(request)
--- a/apricotwalk/forwarding/_server_side.py
+++ b/apricotwalk/forwarding/_server_side.py
@@ -2,9 +2,10 @@
 
 import asyncio
 import time
+from collections.abc import Collection
 from typing import cast
 
-from apricotwalk.admission import AdmissionController, Outcome, Permit, WorkItem
+from apricotwalk.admission import Outcome, Permit, RankQueueController, WorkItem
 from apricotwalk.border import HeaderFieldNames
 from apricotwalk.core import CallFailure, Verdict, parse_count
 from apricotwalk.forwarding._announcements import AnnouncementReader
@@ -38,7 +39,7 @@
         State of the backend server.
     pool : BackendPool
         Connections to the backend server.
-    admission : AdmissionController
+    admission : RankQueueController
         Decides which requests run and when.
     allowance : RetryAllowance
         Limits retries.
@@ -56,7 +57,7 @@
         self,
         registry: BackendRegistry,
         pool: BackendPool,
-        admission: AdmissionController,
+        admission: RankQueueController,
         allowance: RetryAllowance,
         crash_watch: CrashWatch,
         fields: HeaderFieldNames,
@@ -76,7 +77,30 @@
         self._log = log
         self._metrics = metrics
         self.reported_load = 0.0
-        self.is_stopping = False
+        self._is_stopping = False
+
+    def start_stopping(self) -> None:
+        """Refuse new requests, and those in the queue, which other servers can still run.
+
+        Notes
+        -----
+        A request that starts now has the rest of the stop time to complete.  One that stayed in the
+        queue could start too late, and would then be cut off with an unknown outcome.
+        """
+        self._is_stopping = True
+        count = self._admission.refuse_queued(lambda item: True, _stopping_failure)
+        self._log.record_state_change("queued-requests-refused", count=count, reason="leaving")
+
+    def withdraw(self, request_ids: Collection[str]) -> None:
+        """Refuse the queued requests whose senders cannot wait for them any longer."""
+        withdrawn = frozenset(request_ids)
+        count = self._admission.refuse_queued(
+            lambda item: item.request_id in withdrawn, _withdrawal_failure
+        )
+        if count:
+            self._log.record_state_change(
+                "queued-requests-refused", count=count, reason="withdrawn"
+            )
 
     async def run(self, message: ForwardMessage) -> ReplyMessage:
         """Run a forwarded request and return its outcome; raises only when cancelled."""
@@ -119,8 +143,8 @@
 
     async def _run(self, message: ForwardMessage) -> ServerAnswer:
         deadline = time.monotonic() + message.remaining_ms / 1000
-        if self.is_stopping:
-            raise CallFailure(Verdict.NOT_RUN, "leaving", "this node stops")
+        if self._is_stopping:
+            raise _stopping_failure()
         if message.service != self._registry.settings.service:
             raise CallFailure(Verdict.NOT_RUN, "no-server", "another service runs here")
         self._crash_watch.registry.merge(message.suspects)
@@ -248,6 +272,14 @@
         self.reported_load = (running + waiting) / max(1, slots)
 
 
+def _stopping_failure() -> CallFailure:
+    return CallFailure(Verdict.NOT_RUN, "leaving", "this node stops")
+
+
+def _withdrawal_failure() -> CallFailure:
+    return CallFailure(Verdict.NOT_RUN, "withdrawn", "its sender stops before it would be answered")
+
+
 def _to_work_item(message: ForwardMessage, deadline: float) -> WorkItem:
     return WorkItem(
         customer="",
--- a/apricotwalk/meshnode/_node.py
+++ b/apricotwalk/meshnode/_node.py
@@ -237,7 +237,9 @@
         Callers may continue to use open connections, so connections without a request are closed
         once callers have had the time to detect that the node is not ready.  Requests that are
         complete only after that time are refused, because too little of the stop time is left for
-        them.  The node stops as soon as the kernel has taken every answer.
+        them.  The node beside another server refuses a forwarded request that has not started when
+        half of the rest has passed, so that one that has started has the other half to complete.
+        The node stops as soon as its callers have received every answer.
         """
         self.log.record_state_change("node-stopping")
         began = time.monotonic()
@@ -248,12 +250,16 @@
         await asyncio.sleep(READINESS_NOTICE_SECONDS)
         self._caller_listener.stop_listening()
         self._ingress.is_stopping = True
-        self.executor.is_stopping = True
+        self.executor.start_stopping()
         deadline = began + self.settings.bounds.stop_seconds - STOP_MARGIN_SECONDS
-        while time.monotonic() < deadline:
+        withdraws_at = (time.monotonic() + deadline) / 2
+        while (now := time.monotonic()) < deadline:
             self._caller_listener.close_idle()
             if not self.is_busy:
                 return
+            if now >= withdraws_at:
+                self._forwarder.withdraw()
+                withdraws_at = inf
             await asyncio.sleep(DRAIN_CHECK_INTERVAL_SECONDS)
 
     async def close(self) -> None:
--- a/apricotwalk/meshnode/_peers.py
+++ b/apricotwalk/meshnode/_peers.py
@@ -66,6 +66,11 @@
         assert self.executor is not None
         return await self.executor.run(message)
 
+    def handle_withdrawal(self, request_ids: list[str]) -> None:
+        """Refuse forwarded requests; see `PeerHandler.handle_withdrawal`."""
+        assert self.executor is not None
+        self.executor.withdraw(request_ids)
+
     def gossip_digest(self) -> GossipDigest:
         """Return the content of pings; see `PeerHandler.gossip_digest`."""
         return GossipDigest(
--- a/apricotwalk/peering/_links.py
+++ b/apricotwalk/peering/_links.py
@@ -72,6 +72,7 @@
         self.address = address
         self._handler = handler
         self._pending_replies_by_call: dict[int, asyncio.Future[ReplyMessage]] = {}
+        self._request_ids_by_call: dict[int, str] = {}
         self.last_used = time.monotonic()
         self.pinged_at = 0.0
         self.is_draining = False
@@ -112,14 +113,21 @@
             if not self.send(message):
                 raise _unreachable(self.address, "the connection is closed")
             self._pending_replies_by_call[message.call] = reply
+            self._request_ids_by_call[message.call] = message.request_id
             return await reply
         except asyncio.CancelledError:
             self.send(CancelMessage(message.call))
             raise
         finally:
             self._pending_replies_by_call.pop(message.call, None)
+            self._request_ids_by_call.pop(message.call, None)
             self.transfers.cancel(message.call)
 
+    def withdraw_calls(self) -> None:
+        """Ask the peer to refuse the pending calls that it has not started."""
+        if self._request_ids_by_call:
+            self.send(GoAwayMessage(list(self._request_ids_by_call.values())))
+
     async def _send_body(self, message: ForwardMessage) -> ForwardMessage:
         """Send a large body ahead of its request, and return the request without it."""
         began = time.monotonic()
@@ -222,6 +230,16 @@
         """Return whether a connection accepts calls or no outage of the peer is known."""
         return self.is_connected(address) or address not in self._outages_by_address
 
+    def withdraw_calls(self) -> None:
+        """Ask every peer to refuse the pending calls that it has not started.
+
+        Notes
+        -----
+        The replies to these calls, and to those that have started, still arrive.
+        """
+        for link in self._links:
+            link.withdraw_calls()
+
     async def call(self, address: Address, message: ForwardMessage) -> ReplyMessage:
         """Forward a request to the peer at `address` and wait for its reply.
 
--- a/apricotwalk/peering/_listener.py
+++ b/apricotwalk/peering/_listener.py
@@ -35,6 +35,10 @@
     async def handle_forward(self, message: ForwardMessage) -> ReplyMessage:
         """Run a forwarded request and return its outcome; must not raise."""
 
+    @abstractmethod
+    def handle_withdrawal(self, request_ids: list[str]) -> None:
+        """Refuse the forwarded requests that have not started; their replies are still sent."""
+
     @abstractmethod
     def gossip_digest(self) -> GossipDigest:
         """Return the summary of this node's state."""
@@ -79,6 +83,10 @@
         elif isinstance(message, PingMessage):
             self.send(PongMessage(*self._handler.gossip_digest()))
             self._handler.handle_gossip_digest(message.digest, self.send)
+        elif isinstance(message, GoAwayMessage):
+            # A request that was received together with this message is queued by its task first.
+            loop = asyncio.get_running_loop()
+            loop.call_soon(self._handler.handle_withdrawal, message.withdrawn_request_ids)
         else:
             self._handler.handle_control(message, self.send)
 
--- a/apricotwalk/peering/_messages.py
+++ b/apricotwalk/peering/_messages.py
@@ -259,7 +259,16 @@
 
 
 class GoAwayMessage(Struct, frozen=True, array_like=True, tag=11):
-    """Notice that the sender accepts no new requests and answers the pending ones."""
+    """Notice that the sender accepts no new requests and answers the pending ones.
+
+    Parameters
+    ----------
+    withdrawn_request_ids : list of str
+        Identifiers of requests that the sender has forwarded and that must not start any more,
+        because it ends before they would complete.
+    """
+
+    withdrawn_request_ids: list[str] = []
 
 
 class SuspectsMessage(Struct, frozen=True, array_like=True, tag=12):
--- a/tests/test_stops.py
+++ b/tests/test_stops.py
@@ -11,6 +11,11 @@
 MEMBERS = (("m1", "menu-svc"), ("m2", "menu-svc"))
 STOP_SECONDS = 6.0
 VERSION = new_configuration(1, new_route("menu", "menu-svc", timeout_seconds=5.0))
+PATIENT = new_configuration(
+    1,
+    new_route("menu", "menu-svc", timeout_seconds=20.0),
+    new_route("dispatch", "dispatch-svc"),
+)
 # Time after the notice within which a request that is complete is refused, see the node's drain.
 LATE_SECONDS = 2.6
 
@@ -219,3 +224,61 @@
             await stopping
 
     run(body())
+
+
+def set_slots(mesh, slots):
+    for node in mesh.nodes.values():
+        node.admission.set_slots(slots)
+
+
+async def send_at_once(mesh, instance, count, deadline_ms=5000):
+    """Send requests on connections of their own, and return tasks with status and body."""
+
+    async def send(number):
+        caller = await mesh.caller(instance)
+        try:
+            status, _, content = await caller.request(f"/menu/{number}", deadline_ms=deadline_ms)
+            return f"/menu/{number}", status, content
+        finally:
+            caller.close()
+
+    return [asyncio.create_task(send(number)) for number in range(count)]
+
+
+def test_stop_refuses_requests_that_wait_beside_a_full_server(run):
+    """Requests that waited there until the process ended were cut off, some after they had run."""
+    members = (("d1", "dispatch-svc"), ("m1", "menu-svc"))
+
+    async def body():
+        async with running_mesh(*members, version=PATIENT, stop_seconds=STOP_SECONDS) as mesh:
+            set_slots(mesh, 1)
+            mesh.servers["m1"].respond = lambda request: FakeResponse(delay=0.9)
+            requests = await send_at_once(mesh, "d1", 8, deadline_ms=20_000)
+            await asyncio.sleep(0.1)
+            await stop(mesh.nodes["d1"])
+            answers = await asyncio.gather(*requests)
+            served = served_targets(mesh)
+            assert len(served) < len(answers)
+            for target, status, content in answers:
+                assert (target, status) == (target, 200 if target in served else 503), content
+
+    run(body())
+
+
+def test_stop_passes_on_requests_that_wait_beside_its_own_full_server(run):
+    """The requests of other nodes that waited at a stopping one ended with a lost connection."""
+    members = (("d1", "dispatch-svc"), ("m1", "menu-svc"), ("m2", "menu-svc"))
+
+    async def body():
+        async with running_mesh(*members, version=PATIENT, stop_seconds=STOP_SECONDS) as mesh:
+            set_slots(mesh, 1)
+            for server in mesh.servers.values():
+                server.respond = lambda request: FakeResponse(delay=0.7)
+            requests = await send_at_once(mesh, "d1", 16, deadline_ms=20_000)
+            await asyncio.sleep(0.1)
+            await stop(mesh.nodes["m1"])
+            answers = await asyncio.gather(*requests)
+            assert [status for _, status, _ in answers] == [200] * len(answers)
+            assert sum(len(server.requests) for server in mesh.servers.values()) == len(answers)
+
+    run(body())
