Blame a crash on requests whose callers have left, too

Cause: a run that ends with its deadline or its caller was forgotten at once, so the crash had no request to blame. Beside it, messages carried the 16 newest suspects, of which a crash adds one for each request that ran, so the entry of the request in question was often missing.

Change: CrashWatch remembers abandoned runs for 5 s, and a crash also shows by a refused connection or by a new start of a server that had not left. Messages about a request carry its own entry first.

--- a/apricotwalk/forwarding/_backend_registry.py
+++ b/apricotwalk/forwarding/_backend_registry.py
@@ -85,6 +85,7 @@
         self._deferred_heartbeat: Heartbeat | None = None
         self._deferred_probe: tuple[str, int] | None = None
         self.on_change: Callable[[], None] = lambda: None
+        self.on_restart: Callable[[], None] = lambda: None
         self.on_departure: Callable[[Departure], None] = lambda departure: None
         self.server_known = asyncio.Event()
 
@@ -280,6 +281,8 @@
         if last is None or not last.is_same_start(known.server, known.started_ms):
             self.announced_rate = None
             self._has_answered = False
+            if last is not None and not self.is_leaving:
+                self.on_restart()
         self.current = self._last_known = known
         self.is_leaving = False
         self.server_known.set()
--- a/apricotwalk/forwarding/_forwarder.py
+++ b/apricotwalk/forwarding/_forwarder.py
@@ -12,7 +12,7 @@
 from apricotwalk.forwarding._server_side import ServerSideExecutor
 from apricotwalk.membership import Member
 from apricotwalk.peering import ForwardMessage, PeerLinks, ReplyMessage
-from apricotwalk.quarantine import QuarantineRegistry
+from apricotwalk.quarantine import QuarantineRegistry, fingerprint
 from apricotwalk.retries import SystemicFailureDetector
 from apricotwalk.routing import TargetSelector
 from apricotwalk.telemetry import DecisionLog
@@ -313,10 +313,15 @@
             fields=request.fields,
             body=cast(bytes, request.body),  # a large body is not encoded, see BodyTransfers
             caller_service=self.caller_service,
-            suspects=self._quarantine.suspects(),
+            suspects=self._quarantine.suspects_for(lambda: self._fingerprint(request)),
             notice=self._notices_by_instance.get(request.member),
         )
 
+    def _fingerprint(self, request: OutgoingRequest) -> int:
+        return fingerprint(
+            self.caller_service, request.route.name, request.method, request.target, request.body
+        )
+
     async def _send(self, member: Member, message: ForwardMessage) -> ReplyMessage:
         began = self.clock()
         self._selector.record_call_sent(member.instance)
--- a/apricotwalk/forwarding/_server_side.py
+++ b/apricotwalk/forwarding/_server_side.py
@@ -125,7 +125,9 @@
                 failure.cause,
                 load=self._admission.load(),
                 reported_load=self.reported_load,
-                suspects=self._crash_watch.registry.suspects(),
+                suspects=self._crash_watch.registry.suspects_for(
+                    lambda: _request_fingerprint(message)
+                ),
                 notice=self._registry.notice(),
             )
         self._metrics.count_server_side_outcome("completed")
@@ -197,6 +199,8 @@
             outcome = Outcome.CANCELLED
             raise
         except CallFailure as failure:
+            if failure.cause == "backend-unreachable" and not self._registry.is_leaving:
+                self._crash_watch.report_lost_server(message.service)
             if failure.cause in ("backend-unreachable", "server-crashed"):
                 self._registry.mark_lost(str(failure))
             raise
@@ -206,13 +210,10 @@
     async def _exchange(
         self, message: ForwardMessage, known_server: KnownServer, deadline: float
     ) -> ServerAnswer:
-        request_fingerprint = fingerprint(
-            message.caller_service, message.route, message.method, message.target, message.body
-        )
         run_id = f"{message.call} {message.request_id}"
         self._metrics.count_sent(message.is_repeat)
         async with self._crash_watch.run(
-            run_id, request_fingerprint, message.service, self._pool
+            run_id, _request_fingerprint(message), message.service, self._pool
         ) as watched_run:
             answer = await self._pool.send(
                 message.method,
@@ -272,6 +273,12 @@
         self.reported_load = (running + waiting) / max(1, slots)
 
 
+def _request_fingerprint(message: ForwardMessage) -> int:
+    return fingerprint(
+        message.caller_service, message.route, message.method, message.target, message.body
+    )
+
+
 def _stopping_failure() -> CallFailure:
     return CallFailure(Verdict.NOT_RUN, "leaving", "this node stops")
 
--- a/apricotwalk/meshnode/_node.py
+++ b/apricotwalk/meshnode/_node.py
@@ -176,13 +176,13 @@
             self.downloads,
         )
         self.quarantine = QuarantineRegistry(self._clock, CRASH_LIMIT)
-        crash_watch = CrashWatch(settings.instance, self.quarantine, self._publish_suspects)
+        self._crash_watch = CrashWatch(settings.instance, self.quarantine, self._publish_suspects)
         self.executor = ServerSideExecutor(
             self.registry,
             self.pool,
             self.admission,
             self.allowance,
-            crash_watch,
+            self._crash_watch,
             platform.fields,
             self.log,
             self.metrics,
@@ -208,6 +208,7 @@
         """Register the callbacks and start every service and background loop."""
         self.registry.on_change = self._handle_server_change
         self.members.count_write = lambda: self.metrics.count_store_call("members", "write")
+        self.registry.on_restart = self._report_restart
         self.members.on_own_history = self._apply_own_history
         self.registry.on_departure = self.members.announce_departure
         self.members.on_own_change = self._broadcast_own_record
@@ -480,6 +481,10 @@
         await asyncio.sleep(HISTORY_WAIT_SECONDS)
         self.registry.settle("time-out")
 
+    def _report_restart(self) -> None:
+        """Report what may have crashed a server that starts again without having left."""
+        self._crash_watch.report_lost_server(self.settings.service)
+
     def _publish_suspects(self, service: str, suspects: list[Suspect]) -> None:
         """Send the suspects to the other nodes of the service, which then reject such requests."""
         self.log.record_state_change("server-crashed", service=service, suspects=len(suspects))
--- a/apricotwalk/quarantine/_crash_watch.py
+++ b/apricotwalk/quarantine/_crash_watch.py
@@ -1,6 +1,8 @@
 """Attribution of crashes of the local backend server to requests."""
 
 import asyncio
+import time
+from collections import deque
 from collections.abc import Callable
 from types import TracebackType
 from typing import Protocol
@@ -15,6 +17,11 @@
 # Reports of crashes that happen at the same time on several nodes reach the others within this
 # time, also while the nodes are busy.
 REPORT_SETTLING_SECONDS = 0.1
+# A server that crashes after the caller of a request has left is missed by the next request, or
+# reports its new start, within this time.
+ABANDONED_RETENTION_SECONDS = 5.0
+# More requests than this are rarely abandoned within the retention time at one server.
+MAX_ABANDONED_COUNT = 256
 
 
 class _Backend(Protocol):
@@ -42,7 +49,9 @@
     further crash, only the suspect is reported.
 
     A request whose connection broke while the server still listened is reported as well if the
-    server stops listening within `RECHECK_DELAYS_SECONDS`.
+    server stops listening within `RECHECK_DELAYS_SECONDS`.  So is one that was abandoned, because
+    its caller left or its deadline passed, shortly before a crash: the server may have continued to
+    execute it.
     """
 
     def __init__(
@@ -60,6 +69,7 @@
         self._crash_count = 0
         self._broken_fingerprints: set[int] = set()
         self._recheck: asyncio.Task[None] | None = None
+        self._abandoned: deque[tuple[float, int]] = deque(maxlen=MAX_ABANDONED_COUNT)
 
     def suspect_slot(self, fingerprint: int, timeout_seconds: float) -> "_SuspectSlot":
         """Return a context that lets only one suspected request be executed at a time.
@@ -134,6 +144,28 @@
         """Record that the execution of a request has ended."""
         self._fingerprints_by_call_id.pop(call_id, None)
 
+    def abandon(self, call_id: str) -> None:
+        """Record that nobody waits any longer for a request that the server may still execute."""
+        fingerprint = self._fingerprints_by_call_id.get(call_id)
+        if fingerprint is not None:
+            self._abandoned.append((time.monotonic(), fingerprint))
+
+    def report_lost_server(self, service: str) -> None:
+        """Report the requests that may have crashed a server that was found gone or started anew.
+
+        Notes
+        -----
+        Without such a request there is nothing to report: the server may have been stopped.
+        """
+        if self._fingerprints_by_call_id or self._recently_abandoned():
+            self._notify_peers(service, self._report_running())
+
+    def _recently_abandoned(self) -> set[int]:
+        oldest = time.monotonic() - ABANDONED_RETENTION_SECONDS
+        while self._abandoned and self._abandoned[0][0] < oldest:
+            self._abandoned.popleft()
+        return {fingerprint for _, fingerprint in self._abandoned}
+
     async def _acquire_suspect_lock(self, timeout_seconds: float) -> None:
         try:
             async with asyncio.timeout(timeout_seconds):
@@ -177,8 +209,13 @@
     def _report_running(self) -> list[Suspect]:
         """Report the requests that may have caused a crash and return their entries."""
         self._crash_count += 1
-        running = {*self._fingerprints_by_call_id.values(), *self._broken_fingerprints}
+        running = {
+            *self._fingerprints_by_call_id.values(),
+            *self._broken_fingerprints,
+            *self._recently_abandoned(),
+        }
         self._broken_fingerprints.clear()
+        self._abandoned.clear()
         suspects = {suspect for suspect in running if self.registry.is_suspected(suspect)}
         reported = suspects or running
         for fingerprint in reported:
@@ -254,6 +291,8 @@
                     self._crash_watch.registry.clear(self._fingerprint)
             elif isinstance(error, CallFailure) and error.cause == "answer-incomplete":
                 await self._raise_if_crashed(error)
+            elif isinstance(error, asyncio.CancelledError):
+                self._crash_watch.abandon(self._call_id)
         finally:
             self._crash_watch.end(self._call_id)
 
--- a/apricotwalk/quarantine/_registry.py
+++ b/apricotwalk/quarantine/_registry.py
@@ -1,7 +1,7 @@
 """Registry of requests suspected of crashing backend servers, shared among nodes."""
 
 from collections import OrderedDict
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 from itertools import islice
 from math import inf
 
@@ -97,6 +97,26 @@
         suspect = self._find(fingerprint)
         return [suspect] if suspect else []
 
+    def suspects_for(self, request: Callable[[], int]) -> list[Suspect]:
+        """Return the suspects for a message about one request, whose own entry comes first.
+
+        Parameters
+        ----------
+        request : callable
+            Returns the fingerprint of the request; it is not called if nothing is suspected.
+
+        Notes
+        -----
+        A crash adds an entry for every request that ran, so the entry of a request that is
+        quarantined is often not among the newest.
+        """
+        newest = self.suspects()
+        if not newest:
+            return newest
+        own = self.find(request())
+        others = [suspect for suspect in newest if suspect not in own]
+        return (own + others)[:MAX_PIGGYBACKED_COUNT]
+
     def suspects(self, max_count: int = MAX_PIGGYBACKED_COUNT) -> list[Suspect]:
         """Return the most recently changed suspects, newest first, for messages to other nodes."""
         self._expire()
--- a/tests/test_mesh_path.py
+++ b/tests/test_mesh_path.py
@@ -13,6 +13,7 @@
     new_route,
 )
 from tests.mesh_harness import DISPATCH, MENU, Mesh, running_mesh
+from tests.test_mesh_decisions import new_heartbeat_call
 
 
 def test_request_is_forwarded_through_two_nodes_and_its_response_returned_unchanged(run):
@@ -278,6 +279,61 @@
     run(body())
 
 
+@pytest.mark.parametrize("is_loaded", [False, True])
+def test_request_that_crashes_servers_after_its_deadline_is_quarantined(run, is_loaded):
+    """A caller that leaves before the crash ended the only exchange that would have shown it."""
+    deadline_ms, crash_seconds = 150, 0.3
+
+    async def body():
+        members = [(f"m{number}", "menu-svc") for number in range(1, 4)]
+        async with running_mesh(*members, retry_allowance=4e4) as mesh:
+            crashes = []
+            restarts = []
+
+            async def crash(instance, server):
+                await asyncio.sleep(crash_seconds)
+                crashes.append(instance)
+                server.crash()
+                await asyncio.sleep(0.2)
+                if is_loaded:  # another request finds the server gone
+                    await send_others()
+                await server.start()
+                registry = mesh.nodes[instance].registry
+                registry.handle_call(
+                    new_heartbeat_call(registry, server.server, started_ms=1 + len(crashes))
+                )
+
+            async def send_others():
+                caller = await mesh.caller("m1")
+                for number in range(4):
+                    await caller.request(f"/menu/{number}")
+                caller.close()
+
+            def respond(instance, server):
+                def crash_later(request):
+                    if request["target"] != "/menu/poison":
+                        return FakeResponse()
+                    restarts.append(asyncio.create_task(crash(instance, server)))
+                    return FakeResponse(delay=1.0)
+
+                return crash_later
+
+            for instance, server in mesh.servers.items():
+                server.respond = respond(instance, server)
+                registry = mesh.nodes[instance].registry
+                registry.handle_call(new_heartbeat_call(registry, server.server, started_ms=1))
+            for _ in range(8):
+                caller = await mesh.caller("m1")
+                await caller.request("/menu/poison", deadline_ms=deadline_ms)
+                caller.close()
+                await asyncio.sleep(crash_seconds)
+                await asyncio.gather(*restarts)
+                await mesh.wait_until_converged(len(members))
+            assert len(crashes) == 3
+
+    run(body())
+
+
 @pytest.mark.parametrize("status", [503, 500])
 def test_crashing_request_that_a_failing_server_answers_stays_suspected(run, status):
     """A rejection and the error of a failing server do not show that the request was executed."""
--- a/tests/test_quarantine.py
+++ b/tests/test_quarantine.py
@@ -237,3 +237,37 @@
     for crash_number in range(5):
         registry.report(CRASHING, f"a#{crash_number}")
     assert not registry.is_quarantined(CRASHING)
+
+
+def test_message_about_a_request_carries_its_own_entry():
+    """The entries of requests that ran beside a crashing one pushed its own out of the message."""
+    registry = QuarantineRegistry(ManualClock(), crash_limit=3)
+    for crash in ("menu-1#1", "menu-2#1", "menu-3#1"):
+        registry.report(CRASHING, crash)
+    for digest in range(40):
+        registry.report(digest, "menu-3#1")
+    suspects = registry.suspects_for(lambda: CRASHING)
+    assert suspects[0].fingerprint == CRASHING
+    assert len(suspects) == len(registry.suspects())
+    assert len({suspect.fingerprint for suspect in suspects}) == len(suspects)
+
+
+@pytest.mark.parametrize("has_ended", [False, True])
+def test_abandoned_request_is_suspected_if_the_server_is_lost(run, has_ended):
+    watch = new_watch()
+
+    async def body():
+        async def wait():
+            async with watch.run("call-1", CRASHING, "menu", FakeBackend()):
+                await asyncio.sleep(10)
+
+        task = asyncio.create_task(wait())
+        await asyncio.sleep(0)
+        if has_ended:
+            task.cancel()
+            await asyncio.gather(task, return_exceptions=True)
+        watch.report_lost_server("menu")
+        task.cancel()
+
+    run(body())
+    assert watch.registry.is_suspected(CRASHING)
