Let a server confirm the first report after a restart of its node

Cause: the acknowledgement was recorded nowhere, and the new process believed the first report once it had waited, or had read a directory without it.

Change: after a restart the server confirms it: by a health check, by a further report at least 1 s later, or by having started after the process. Three tests, in which a report alone counted after a restart, now confirm it in a step of their own; two new ones show that without that step it does not count.

--- a/apricotwalk/forwarding/_backend_registry.py
+++ b/apricotwalk/forwarding/_backend_registry.py
@@ -15,6 +15,9 @@
 # Departed incarnations are remembered so that their late heartbeats are ignored.  Heartbeats are
 # at most seconds late, so a short history suffices.
 DEPARTED_HISTORY_COUNT = 16
+# Reports that were held up on their way arrive together, while a server that is not leaving sends
+# them at the interval of heartbeats, which is longer.
+MIN_REPORT_GAP_SECONDS = 1.0
 MILLISECONDS_PER_SECOND = 1000
 
 
@@ -61,9 +64,11 @@
     heartbeat with the larger sequence number wins, so a heartbeat delayed by a partition changes
     nothing.  A node that has just started knows no server until a heartbeat or a health check
     reports one.  It defers these until `settle` is called, because an earlier process may have
-    acknowledged that the server is leaving, and a report of the time before that can be late.  The
-    limit that the server announced reaches such a node with the first request of each node that
-    knows it.
+    acknowledged that the server is leaving, and a report of the time before that can be late.  That
+    acknowledgement is not recorded anywhere if the store was unavailable and every other node has
+    ended too, so the server also has to confirm the first report: by a health check, by a further
+    report, or by having started after this process.  The limit that the server announced reaches
+    such a node with the first request of each node that knows it.
     """
 
     def __init__(
@@ -81,7 +86,9 @@
         self._has_answered = False
         self.announced_rate: float | None = None
         self._is_rate_readable = True
-        self._is_settled = is_settled
+        self._is_settled = self._is_confirmed = is_settled
+        self._created_ms = clock.wall() * MILLISECONDS_PER_SECOND
+        self._first_report_at = 0.0
         self._deferred_heartbeat: Heartbeat | None = None
         self._deferred_probe: tuple[str, int] | None = None
         self.on_change: Callable[[], None] = lambda: None
@@ -98,8 +105,9 @@
 
     def register_probed(self, server: str, slots: int) -> None:
         """Register a server that a health check found ready before its first heartbeat."""
-        if not self._is_settled:
+        if not (self._is_settled and self._is_confirmed):
             self._deferred_probe = (server, slots)
+            self.confirm("health check")
             return
         if self._departed and self._departed[-1].server == server:
             return  # a health check does not tell whether it is a later start of this server
@@ -168,10 +176,30 @@
             return
         self._is_settled = True
         self._log.record_state_change("server-history-known", reason=reason)
-        if self._deferred_heartbeat is not None:
-            self._handle_heartbeat(self._deferred_heartbeat)
-        elif self._deferred_probe is not None:
-            self.register_probed(*self._deferred_probe)
+        self._apply_deferred()
+
+    def confirm(self, reason: str) -> None:
+        """Apply what was deferred until the server showed that it is not leaving."""
+        if self._is_confirmed:
+            return
+        self._is_confirmed = True
+        self._log.record_state_change("server-confirmed", reason=reason)
+        self._apply_deferred()
+
+    @property
+    def awaits_confirmation(self) -> bool:
+        """Whether a server has reported itself and has not confirmed the report yet."""
+        return self._deferred_heartbeat is not None and not self._is_confirmed
+
+    def _apply_deferred(self) -> None:
+        if not (self._is_settled and self._is_confirmed):
+            return
+        heartbeat, self._deferred_heartbeat = self._deferred_heartbeat, None
+        probe, self._deferred_probe = self._deferred_probe, None
+        if heartbeat is not None and (probe is None or probe[0] == heartbeat.server):
+            self._handle_heartbeat(heartbeat)
+        elif probe is not None:
+            self.register_probed(*probe)
 
     def mark_lost(self, reason: str) -> None:
         """Mark the server as lost until a newer heartbeat or a health check reports it."""
@@ -185,7 +213,8 @@
     def _handle_heartbeat(self, heartbeat: Heartbeat) -> None:
         if not self._matches_settings(heartbeat) or self._is_stale(heartbeat):
             return
-        if not self._is_settled and not heartbeat.is_leaving:
+        is_trusted = self._is_settled and self._is_confirmed
+        if not is_trusted and not heartbeat.is_leaving:
             self._defer(heartbeat)
             return
         self._newest_heartbeat = heartbeat
@@ -199,11 +228,16 @@
 
     def _defer(self, heartbeat: Heartbeat) -> None:
         deferred = self._deferred_heartbeat
-        if deferred is None or (heartbeat.started_ms, heartbeat.sequence) > (
-            deferred.started_ms,
-            deferred.sequence,
-        ):
-            self._deferred_heartbeat = heartbeat
+        now = self._clock.monotonic()
+        if deferred is None:
+            self._first_report_at = now
+        elif (heartbeat.started_ms, heartbeat.sequence) <= (deferred.started_ms, deferred.sequence):
+            return
+        self._deferred_heartbeat = heartbeat
+        if heartbeat.started_ms >= self._created_ms:
+            self.confirm("started after this process")
+        elif deferred is not None and now - self._first_report_at >= MIN_REPORT_GAP_SECONDS:
+            self.confirm("further report")
 
     def _matches_settings(self, heartbeat: Heartbeat) -> bool:
         if (
--- a/apricotwalk/meshnode/_probe.py
+++ b/apricotwalk/meshnode/_probe.py
@@ -28,7 +28,9 @@
     fields: HeaderFieldNames,
     log: DecisionLog,
 ) -> None:
-    """Probe the backend server until it is registered, at most ``MAX_PROBE_COUNT`` times.
+    """Probe the backend server until it is registered or ``MAX_PROBE_COUNT`` probes have failed.
+
+    Probes continue while the server has to confirm a report, see `BackendRegistry`.
 
     Parameters
     ----------
@@ -43,7 +45,9 @@
     log : DecisionLog
         Log for the results.
     """
-    for _ in range(MAX_PROBE_COUNT):
+    probe_count = 0
+    while probe_count < MAX_PROBE_COUNT or registry.awaits_confirmation:
+        probe_count += 1
         while configuration.current is None:
             await asyncio.sleep(PROBE_INTERVAL_SECONDS / 10)
         if registry.current is not None or registry.is_leaving:
@@ -79,6 +83,10 @@
     )
     slots = _read_slots(answer, fields)
     announcement = AnnouncementReader(fields).read(answer)
+    if fields.not_run.lower().encode() in answer.values_by_name:
+        # A full server rejects health checks like requests, which does not show that it leaves.
+        registry.confirm("rejected health check")
+        return
     if answer.status != READY_STATUS or announcement.is_leaving or not server or not slots:
         return
     registry.register_probed(server, slots)
--- a/tests/mesh_fakes.py
+++ b/tests/mesh_fakes.py
@@ -231,6 +231,7 @@
         self.slots = slots
         self.requests = []
         self.aborted_count = 0
+        self.health_status = 200
         self.respond = lambda request: FakeResponse()
         self._listener = None
         self._writers = set()
@@ -267,7 +268,8 @@
     async def _handle_request(self, request, reader, writer):
         if request["target"] == "/health":
             fields = f"Server: {self.server}\r\nLoad: 0,0,{self.slots}\r\n"
-            writer.write(f"HTTP/1.1 200 OK\r\n{fields}Content-Length: 0\r\n\r\n".encode())
+            head = f"HTTP/1.1 {self.health_status} X\r\n{fields}Content-Length: 0\r\n\r\n"
+            writer.write(head.encode())
             return
         self.requests.append(request)
         response = self.respond(request)
--- a/tests/test_server_leaving.py
+++ b/tests/test_server_leaving.py
@@ -9,6 +9,7 @@
 from apricotwalk.core import Departure, ManualClock, ServerNotice
 from apricotwalk.forwarding import BackendRegistry, ServerAnnouncement
 from apricotwalk.meshnode import MeshNode
+from apricotwalk.meshnode._node import HISTORY_WAIT_SECONDS
 from apricotwalk.telemetry import DecisionLog
 from tests.mesh_fakes import FakePlatform, FakeResponse, FakeStore
 from tests.mesh_harness import running_mesh
@@ -138,16 +139,40 @@
     registry = restarted_registry
     registry.handle_call(new_heartbeat_call(registry, started_ms=STARTED_MS, sequence=2, slots=9))
     registry.handle_call(new_heartbeat_call(registry, started_ms=STARTED_MS, sequence=1, slots=8))
+    registry.confirm("test")
+    assert registry.current is None
     registry.settle("test")
     assert registry.current.slots == 9
 
 
+def test_report_counts_once_the_server_has_confirmed_it(restarted_registry):
+    registry = restarted_registry
+    registry.handle_call(new_heartbeat_call(registry, started_ms=STARTED_MS, sequence=2))
+    registry.settle("test")
+    registry.handle_call(new_heartbeat_call(registry, started_ms=STARTED_MS, sequence=3))
+    assert registry.current is None and registry.awaits_confirmation
+    registry._clock.advance(1.5)
+    registry.handle_call(new_heartbeat_call(registry, started_ms=STARTED_MS, sequence=1))
+    assert registry.current is None
+    registry.handle_call(new_heartbeat_call(registry, started_ms=STARTED_MS, sequence=4))
+    assert registry.current is not None and not registry.awaits_confirmation
+
+
+def test_report_of_a_later_start_needs_no_confirmation(restarted_registry):
+    registry = restarted_registry
+    registry.settle("test")
+    later_ms = int(registry._clock.wall() * 1000) + 1
+    registry.handle_call(new_heartbeat_call(registry, started_ms=later_ms))
+    assert registry.current is not None
+
+
 def test_server_that_reports_ready_again_after_draining_is_used_after_a_restart(
     restarted_registry,
 ):
     registry = restarted_registry
     registry.restore_departure(Departure("s-1", STARTED_MS, 7))
     registry.settle("test")
+    registry.confirm("test")
     registry.handle_call(new_heartbeat_call(registry, started_ms=STARTED_MS, sequence=7))
     assert registry.current is None
     registry.handle_call(new_heartbeat_call(registry, started_ms=STARTED_MS, sequence=8))
@@ -208,8 +233,51 @@
     store.members.set_unavailable()
     node = MeshNode(FakePlatform(store, "menu-svc", "n-1"))
     node.registry.handle_call(new_heartbeat_call(node.registry, started_ms=STARTED_MS))
+    node.registry.confirm("test")
     node._apply_own_history(node.members.own)
     assert node.registry.current is None
     earlier = replace(node.members.own, incarnation=node.members.own.incarnation - 1)
     node._apply_own_history(earlier)
     assert node.registry.current is not None
+
+
+@pytest.mark.parametrize("health_status", [503, 200])
+def test_node_that_learns_no_history_asks_the_server_before_it_believes_a_report(
+    run, health_status
+):
+    """All nodes restart during an outage in which one has acknowledged that its server leaves."""
+    members = [("m1", "menu-svc"), ("m2", "menu-svc"), ("d1", "dispatch-svc")]
+
+    async def body():
+        async with running_mesh(*members) as mesh:
+            registry = mesh.nodes["m1"].registry
+            registry.handle_call(
+                new_heartbeat_call(registry, "s-m1", started_ms=STARTED_MS, sequence=3)
+            )
+            await asyncio.sleep(0.1)
+            streams = (mesh.store.configuration, mesh.store.members)
+            for stream in streams:
+                stream.set_unavailable()
+            if health_status == 503:
+                registry.handle_call(HeartbeatCall("s-m1", None, STARTED_MS))
+                mesh.servers["m1"].health_status = health_status
+            for instance, node in list(mesh.nodes.items()):
+                await node.close()
+                mesh.nodes[instance] = MeshNode(node._platform)
+            for node in mesh.nodes.values():
+                await node.start()
+            registry = mesh.nodes["m1"].registry
+            late = new_heartbeat_call(registry, "s-m1", started_ms=STARTED_MS, sequence=2)
+            registry.handle_call(late)
+            await asyncio.sleep(HISTORY_WAIT_SECONDS + 0.3)
+            for stream in streams:
+                stream.is_down = False
+            caller = await mesh.caller("d1")
+            await asyncio.sleep(1.5)
+            for _ in range(40):
+                assert (await caller.request("/menu/1"))[0] == 200
+                await asyncio.sleep(0.05)
+            assert bool(mesh.servers["m1"].requests) == (health_status == 200)
+            caller.close()
+
+    run(body())
