Accept request targets in absolute form

Seen: `GET http://HOST/path HTTP/1.1` was answered 404. Cause: the target was taken for a path. RFC 9112, section 3.2.2, asks servers to accept this form and to take the host from it. Requests are passed on in origin form.

--- a/apricotwalk/http1/_caller_connection.py
+++ b/apricotwalk/http1/_caller_connection.py
@@ -13,7 +13,12 @@
 
 from apricotwalk.core import SMALL_BODY_BYTES, BodyMemory, CountedBody
 from apricotwalk.http1._delivery import count_undelivered_bytes
-from apricotwalk.http1._head import CONNECTION_FIELDS, encode_field, encode_response_head
+from apricotwalk.http1._head import (
+    CONNECTION_FIELDS,
+    encode_field,
+    encode_response_head,
+    split_absolute_form,
+)
 from apricotwalk.http1._messages import HttpLimits, HttpRequest, HttpResponse
 
 __all__ = ["CallerConnection", "ConnectionOwner", "RequestHandler"]
@@ -278,9 +283,12 @@
         """Start to answer a complete request; called by the parser."""
         if self._phase is not _Phase.READING:
             return
+        target, authority = split_absolute_form(self._target.decode("latin1"))
+        if authority is not None and b"host" in self._values:
+            self._values[b"host"] = authority
         request = HttpRequest(
             method=self._parser.get_method().decode("latin1"),
-            target=self._target.decode("latin1"),
+            target=target,
             fields=b"".join(self._fields),
             values_by_name=self._values,
             body=self._take_body(),
--- a/apricotwalk/http1/_head.py
+++ b/apricotwalk/http1/_head.py
@@ -7,6 +7,7 @@
     "encode_field",
     "encode_request_head",
     "encode_response_head",
+    "split_absolute_form",
 ]
 
 # Hop-by-hop header fields are not forwarded (RFC 9110, section 7.6.1), and fields that describe the
@@ -45,6 +46,29 @@
     return f"{name}: {value}\r\n".encode("latin1")
 
 
+def split_absolute_form(target: str) -> tuple[str, str | None]:
+    """Return a request target in origin form, and the authority if it was in absolute form.
+
+    Notes
+    -----
+    The authority of a target in absolute form replaces the ``Host`` field (RFC 9112, section
+    3.2.2).
+
+    Examples
+    --------
+    >>> split_absolute_form("http://mesh.example/menu/1?week=2")
+    ('/menu/1?week=2', 'mesh.example')
+    >>> split_absolute_form("/menu/1")
+    ('/menu/1', None)
+    """
+    scheme, separator, rest = target.partition("://")
+    if not separator or scheme.lower() not in ("http", "https"):
+        return target, None
+    end = min((i for i in (rest.find("/"), rest.find("?")) if i >= 0), default=len(rest))
+    path = rest[end:]
+    return path if path.startswith("/") else f"/{path}", rest[:end]
+
+
 def encode_request_head(method: str, target: str, fields: bytes, body_length: int) -> bytes:
     """Encode the head of a request; `fields` are complete lines, each terminated by CR LF."""
     head = f"{method} {target} HTTP/1.1\r\n".encode("latin1")
--- a/tests/test_http1.py
+++ b/tests/test_http1.py
@@ -8,6 +8,7 @@
 from apricotwalk.core import CallFailure, Verdict
 from apricotwalk.forwarding import BackendPool
 from apricotwalk.http1 import HttpLimits, HttpListener, HttpResponse
+from apricotwalk.http1._head import split_absolute_form
 from tests.mesh_fakes import FakeResponse, FakeServer, free_address, read_message
 
 HEAD = b"GET /a HTTP/1.1\r\nHost: mesh\r\n"
@@ -199,3 +200,18 @@
         await pool.close()
 
     run(body())
+
+
+@pytest.mark.parametrize(
+    ("target", "expected"),
+    [
+        ("/menu/1", ("/menu/1", None)),
+        ("http://mesh/menu/1?w=2", ("/menu/1?w=2", "mesh")),
+        ("HTTP://mesh:80", ("/", "mesh:80")),
+        ("http://mesh?w=2", ("/?w=2", "mesh")),
+        ("/menu?next=http://other/", ("/menu?next=http://other/", None)),
+        ("*", ("*", None)),
+    ],
+)
+def test_target_in_absolute_form_is_split(target, expected):
+    assert split_absolute_form(target) == expected
--- a/tests/test_mesh_path.py
+++ b/tests/test_mesh_path.py
@@ -229,6 +229,20 @@
     run(body())
 
 
+def test_request_target_in_absolute_form_finds_its_route(run):
+    """RFC 9112 asks servers to accept it; the request was answered 404."""
+
+    async def body():
+        async with running_mesh(("m1", "menu-svc"), ("d1", "dispatch-svc")) as mesh:
+            caller = await mesh.caller("d1")
+            status, _, _ = await caller.request("http://mesh/menu/1?week=2")
+            assert status == 200
+            assert mesh.servers["m1"].requests[0]["target"] == "/menu/1?week=2"
+            caller.close()
+
+    run(body())
+
+
 def test_retries_are_limited_while_every_server_returns_500(run):
     async def body():
         async with running_mesh(
