--- a/apricotwalk_lab/soak/_checks.py
+++ b/apricotwalk_lab/soak/_checks.py
@@ -3,7 +3,7 @@
 from collections import defaultdict
 from collections.abc import Iterator
 
-from apricotwalk_lab.soak._plan import PLANNED, Fault, FaultKind, SoakPlan
+from apricotwalk_lab.soak._plan import PLANNED, STOPS, Fault, FaultKind, SoakPlan
 from apricotwalk_lab.soak._platform import (
     CONFIGURATION_SECONDS,
     DRAIN_SECONDS,
@@ -201,7 +201,7 @@
 
 def _check_graceful_stops(plan: SoakPlan, records: Records) -> Iterator[str]:
     for stop in plan.faults:
-        if stop.kind is not FaultKind.NODE_TERMINATED:
+        if stop.kind not in STOPS:
             continue
         end = stop.at + STOP_SECONDS + 1.0
         disturbing = [
@@ -210,6 +210,8 @@
         if any(_ends_connections_of(stop.node, fault) for fault in disturbing):
             continue
         for request in records.tries:
+            if request.ended >= records.callers_closed_at:
+                continue  # the run itself ended its connection
             if request.node == stop.node and request.ended > stop.at and request.sent < end:
                 yield from _check_cut(request, records, is_calm=not disturbing)
 
--- a/apricotwalk_lab/soak/_faults.py
+++ b/apricotwalk_lab/soak/_faults.py
@@ -132,6 +132,7 @@
     def _one_time_faults(self) -> dict[FaultKind, Callable[[NodeInstance], Awaitable[None]]]:
         return {
             FaultKind.NODE_TERMINATED: lambda instance: instance.terminate(),
+            FaultKind.NODE_TERMINATED_WHILE_FULL: lambda instance: instance.terminate(),
             FaultKind.NODE_KILLED: _send_signal(signal.SIGKILL),
             FaultKind.NODE_RELOADED: _send_signal(signal.SIGHUP),
             FaultKind.SERVER_CRASHED: lambda instance: instance.server.crash(),
@@ -155,6 +156,9 @@
                 instance.send(signal.SIGSTOP if is_active else signal.SIGCONT)
             case FaultKind.SERVER_SLOW:
                 instance.server.is_slow = is_active
+            case FaultKind.SERVERS_FULL:
+                for each in self._instances:
+                    each.server.is_full = is_active_anywhere
             case FaultKind.SERVER_LIMITED:
                 instance.server.set_limited(is_active)
             case FaultKind.ANSWERS_LOST:
--- a/apricotwalk_lab/soak/_plan.py
+++ b/apricotwalk_lab/soak/_plan.py
@@ -4,7 +4,7 @@
 from dataclasses import dataclass
 from enum import Enum
 
-__all__ = ["Fault", "FaultKind", "SoakPlan", "draw_plan"]
+__all__ = ["Fault", "FaultKind", "STOPS", "SoakPlan", "draw_plan"]
 
 # Faults begin only after all nodes have joined and received a configuration, which takes less time.
 WARM_UP_SECONDS = 3.0
@@ -46,6 +46,8 @@
     ODD_ENTRIES = "odd-entries"
     NODES_KILLED_IN_TURN = "nodes-killed-in-turn"
     ANSWERS_ENDLESS = "answers-endless"
+    SERVERS_FULL = "servers-full"
+    NODE_TERMINATED_WHILE_FULL = "node-terminated-while-full"
 
 
 # Each group has a random generator of its own, so that each seed still draws its other faults.
@@ -58,14 +60,20 @@
         FaultKind.NODES_KILLED_IN_TURN,
     ),
     "endless": (FaultKind.ANSWERS_ENDLESS,),
+    "full": (FaultKind.SERVERS_FULL, FaultKind.NODE_TERMINATED_WHILE_FULL),
 }
 MAX_SEPARATE_DRAW_COUNT = 3
 # A limit is judged in windows of 4 s that begin 3 s after it was announced.
 MIN_LIMITED_SECONDS = 7.0
 MAX_LIMITED_SECONDS = 10.0
+# Nodes are stopped in turn while the servers are full, each until its queue would have been served.
+MIN_FULL_SECONDS = 8.0
+MAX_FULL_SECONDS = 12.0
+FULL_STOP_DELAYS_SECONDS = (1.5, 4.0)
 
 # Planned operations do not count as faults of the node that they concern.
-PLANNED = frozenset({FaultKind.NODE_TERMINATED, FaultKind.NODE_RELOADED})
+STOPS = frozenset({FaultKind.NODE_TERMINATED, FaultKind.NODE_TERMINATED_WHILE_FULL})
+PLANNED = STOPS | {FaultKind.NODE_RELOADED}
 
 
 @dataclass(frozen=True, slots=True)
@@ -142,5 +150,17 @@
         seconds = generator.uniform(MIN_FAULT_SECONDS, MAX_FAULT_SECONDS)
         if kind is FaultKind.SERVER_LIMITED:
             seconds = generator.uniform(MIN_LIMITED_SECONDS, MAX_LIMITED_SECONDS)
+        if kind is FaultKind.SERVERS_FULL:
+            seconds = generator.uniform(MIN_FULL_SECONDS, MAX_FULL_SECONDS)
+            faults += _draw_stops(generator, at, node_count)
         faults.append(Fault(kind, at, seconds, generator.randrange(node_count)))
     return faults
+
+
+def _draw_stops(generator: random.Random, at: float, node_count: int) -> list[Fault]:
+    """Return stops of different nodes while the servers are full."""
+    nodes = generator.sample(range(node_count), len(FULL_STOP_DELAYS_SECONDS))
+    return [
+        Fault(FaultKind.NODE_TERMINATED_WHILE_FULL, at + delay_seconds, 0.0, node)
+        for node, delay_seconds in zip(nodes, FULL_STOP_DELAYS_SECONDS, strict=True)
+    ]
--- a/apricotwalk_lab/soak/_records.py
+++ b/apricotwalk_lab/soak/_records.py
@@ -77,6 +77,8 @@
         Times at which requests reached each server, whether they ran or not.
     limit_changes_by_server : dict of str to list of (float, float or None)
         Times at which each server announced another limit, in requests per second or None.
+    callers_closed_at : float
+        Time at which the run closes the connections of its callers.
     mismatched_answers : int
         Number of answers that callers received for requests they had not sent.
     """
@@ -91,4 +93,5 @@
     limit_changes_by_server: dict[str, list[tuple[float, float | None]]] = field(
         default_factory=lambda: defaultdict(list)
     )
+    callers_closed_at: float = float("inf")
     mismatched_answers: int = 0
--- a/apricotwalk_lab/soak/_run.py
+++ b/apricotwalk_lab/soak/_run.py
@@ -131,6 +131,7 @@
         faults_ended_at = self._clock()
         has_recovered = await self._wait_for_service(RECOVERY_SECONDS)
         recovery = self._clock() - faults_ended_at
+        self._records.callers_closed_at = self._clock()
         await self._callers.close()
         await self._demanding_callers.close()
         broken = check(
