Blame a crash only on refused connections, and bound the probes of a leaving server

tests/test_mesh_path.py::test_connection_attempt_that_times_out_is_not_a_crash fails without the change.

--- a/apricotwalk/forwarding/_server_side.py
+++ b/apricotwalk/forwarding/_server_side.py
@@ -199,7 +199,8 @@
             outcome = Outcome.CANCELLED
             raise
         except CallFailure as failure:
-            if failure.cause == "backend-unreachable" and not self._registry.is_leaving:
+            is_refused = isinstance(failure.__cause__, ConnectionRefusedError)
+            if is_refused and not self._registry.is_leaving:
                 self._crash_watch.report_lost_server(message.service)
             if failure.cause in ("backend-unreachable", "server-crashed"):
                 self._registry.mark_lost(str(failure))
--- a/apricotwalk/meshnode/_probe.py
+++ b/apricotwalk/meshnode/_probe.py
@@ -16,6 +16,9 @@
 PROBE_INTERVAL_SECONDS = 0.3
 # Heartbeats arrive every 1.5 s, so later probes would give no new information.
 MAX_PROBE_COUNT = 4
+# A server that does not confirm its report within this number of probes is leaving, or confirms it
+# by its further reports.
+MAX_CONFIRMATION_PROBE_COUNT = 10
 # A health check waits for a slot like any request, so a full server answers late.
 PROBE_TIMEOUT_SECONDS = 1.0
 READY_STATUS = 200
@@ -30,7 +33,8 @@
 ) -> None:
     """Probe the backend server until it is registered or ``MAX_PROBE_COUNT`` probes have failed.
 
-    Probes continue while the server has to confirm a report, see `BackendRegistry`.
+    While the server has to confirm a report, see `BackendRegistry`, the limit is
+    ``MAX_CONFIRMATION_PROBE_COUNT``.
 
     Parameters
     ----------
@@ -46,7 +50,9 @@
         Log for the results.
     """
     probe_count = 0
-    while probe_count < MAX_PROBE_COUNT or registry.awaits_confirmation:
+    while probe_count < (
+        MAX_CONFIRMATION_PROBE_COUNT if registry.awaits_confirmation else MAX_PROBE_COUNT
+    ):
         probe_count += 1
         while configuration.current is None:
             await asyncio.sleep(PROBE_INTERVAL_SECONDS / 10)
--- a/tests/test_mesh_path.py
+++ b/tests/test_mesh_path.py
@@ -5,6 +5,7 @@
 
 import pytest
 
+from apricotwalk.forwarding import BackendPool
 from apricotwalk.meshnode import MeshNode
 from tests.mesh_fakes import (
     FakeCaller,
@@ -348,6 +349,29 @@
     run(body())
 
 
+def test_connection_attempt_that_times_out_is_not_a_crash(run, monkeypatch):
+    """A server that does not answer in time can still be executing its requests."""
+
+    async def body():
+        async with running_mesh(("m1", "menu-svc"), ("d1", "dispatch-svc")) as mesh:
+            mesh.servers["m1"].respond = lambda request: FakeResponse(delay=0.5)
+            first, second = await mesh.caller("d1"), await mesh.caller("d1")
+            first.send("/menu/1")
+            await asyncio.sleep(0.1)
+
+            async def time_out(pool):
+                raise TimeoutError
+
+            monkeypatch.setattr(BackendPool, "_open_connection", time_out)
+            assert (await second.request("/menu/2"))[0] == 503
+            assert (await first.receive())[0] == 200
+            assert mesh.nodes["m1"].quarantine.suspects() == []
+            first.close()
+            second.close()
+
+    run(body())
+
+
 @pytest.mark.parametrize("status", [503, 500])
 def test_crashing_request_that_a_failing_server_answers_stays_suspected(run, status):
     """A rejection and the error of a failing server do not show that the request was executed."""
