End a stopped process while its signal handlers are installed

Cause: signals were blocked in the main thread while their handlers were replaced, but the threads that resolve names received them, for the moment in which the default action was in force.

Change: the process ends right after the node has closed, without closing the event loop. The test of late settings now waits for the message in place of a second, which a start can exceed; it checks the same.

--- a/apricotwalk/daemon/_mesh_process.py
+++ b/apricotwalk/daemon/_mesh_process.py
@@ -3,10 +3,11 @@
 import argparse
 import asyncio
 import functools
+import os
 import signal
 import sys
 import time
-from typing import Any
+from typing import Any, NoReturn
 
 import uvloop
 from loguru import logger
@@ -24,7 +25,6 @@
 # correct them.
 SETTINGS_WAIT_SECONDS = 30.0
 SETTINGS_RETRY_SECONDS = 0.1
-HANDLED_SIGNALS = (signal.SIGHUP, signal.SIGINT, signal.SIGTERM)
 
 
 def run() -> None:
@@ -85,21 +85,20 @@
     await stop.wait()
     await node.drain()
     await node.close()
-    _ignore_signals(loop)
+    _exit_process()
 
 
-def _ignore_signals(loop: asyncio.AbstractEventLoop) -> None:
-    """Ignore further signals, whose default action would end the process with an error status.
+def _exit_process() -> NoReturn:
+    """End the process while its signal handlers are still installed.
 
     Notes
     -----
-    The event loop restores the default actions when it closes, and when a handler is removed, so
-    the signals are blocked meanwhile.
+    The event loop restores the default actions of signals when it closes, and a further SIGHUP or
+    SIGTERM would then end the process with an error status.  Blocking the signals does not help,
+    because the threads that resolve names receive them too.
     """
-    signal.pthread_sigmask(signal.SIG_BLOCK, HANDLED_SIGNALS)
-    for signal_number in HANDLED_SIGNALS:
-        loop.remove_signal_handler(signal_number)
-        signal.signal(signal_number, signal.SIG_IGN)
+    sys.stderr.flush()
+    os._exit(0)
 
 
 def _write_to_decision_log(log: DecisionLog, message: Any) -> None:
--- a/tests/test_mesh_start.py
+++ b/tests/test_mesh_start.py
@@ -139,11 +139,14 @@
     if share:
         node.path.write_text(text[: int(len(text) * share)])
     node.start()
+    deadline = time.monotonic() + START_SECONDS
+    while "waiting for settings" not in node.output.read_text():
+        assert node.process.poll() is None and time.monotonic() < deadline
+        time.sleep(0.02)
     time.sleep(OBSTACLE_SECONDS)
     assert node.process.poll() is None, node.output.read_text()
     node.path.write_text(text)
     node.wait_until_listening("listen.ready")
-    assert "waiting for settings" in node.output.read_text()
     assert node.stop() == 0
 
 
