--- a/apricotwalk_lab/soak/_plan.py
+++ b/apricotwalk_lab/soak/_plan.py
@@ -66,7 +66,7 @@
 # A limit is judged in windows of 4 s that begin 3 s after it was announced.
 MIN_LIMITED_SECONDS = 7.0
 MAX_LIMITED_SECONDS = 10.0
-# Nodes are stopped in turn while the servers are full, each until its queue would have been served.
+# Two stops, with the rest of their stop time, fit into the time in which the servers are full.
 MIN_FULL_SECONDS = 8.0
 MAX_FULL_SECONDS = 12.0
 FULL_STOP_DELAYS_SECONDS = (1.5, 4.0)
